--- /dev/null
+++ b/stepknot/benchlink.py
@@ -0,0 +1,289 @@
+"""The bench's wire on standard input and output: parses, translates, dispatches. Decides nothing."""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Callable
+from typing import Any, TextIO
+
+from stepknot import interface as api
+from stepknot.logic import Aggregator
+
+NS = 1_000_000_000
+Fields = dict[str, Any]
+
+OUTCOMES = {
+    "GOOD": api.Outcome.SERVED,
+    "BAD": api.Outcome.ERROR,
+    "FULL": api.Outcome.REJECTED,
+    "LATE": api.Outcome.TIMED_OUT,
+    "NOCONN": api.Outcome.NOT_CONNECTED,
+    "RST": api.Outcome.RESET,
+    "CXL": api.Outcome.CANCELLED,
+    "NOP": api.Outcome.NOT_SENT,
+}
+EFFECTS = {
+    "idempotent": api.Effect.SAFE,
+    "deduplicated": api.Effect.KEYED,
+    "at_most_once": api.Effect.UNSAFE,
+}
+STATES = {
+    "live": api.ServerState.LIVE,
+    "quiescing": api.ServerState.DRAINING,
+    "dead": api.ServerState.GONE,
+}
+LIST_KINDS = {
+    "delta": api.ListKind.CHANGES,
+    "full": api.ListKind.FULL,
+    "cached": api.ListKind.CACHED,
+    "failed": api.ListKind.FAILED,
+}
+
+
+class WireError(Exception):
+    """A line or a setting that cannot be understood."""
+
+
+def seconds(ns: float) -> float:
+    return ns / NS
+
+
+def nanoseconds(value: float) -> int:
+    return round(value * NS)
+
+
+def parse_settings(profile: Fields) -> api.Settings:
+    family, allowed, rules = profile["family-info"], profile["allowed"], profile["rules"]
+    deductions = profile.get("deductions", {})
+    classes = {}
+    for index, lane in enumerate(profile["lanes"]):
+        classes[lane["name"]] = api.QueryClass(
+            name=lane["name"],
+            aim=seconds(lane["slo-ns"]),
+            deadline=seconds(lane["deadline-ns"]),
+            worth=lane["points"],
+            late_value=lane["late-value"],
+            effect=EFFECTS[lane["idempotency"]],
+            repeat_window=seconds(lane.get("window-ns", 0)),
+            need=family["class-need"][index],
+            floor=min(family["class-floor"][index], family["class-need"][index]),
+            partial_value=family["partial-earns"][index],
+            second_step_parts=family["class-fetch"][index],
+        )
+    return api.Settings(
+        instances=profile["balancers"],
+        zone=profile["my-zone"],
+        cells=family["cells"],
+        reach=family["span"],
+        parts_per_call=family["parts-a-call"],
+        classes=classes,
+        tenants={
+            project["name"]: api.Tenant(project["name"], project["share"], project["quota-per-s"])
+            for project in profile.get("projects", [])
+        },
+        rules=api.Rules(
+            drain_grace=seconds(rules["drain-grace-ns"]),
+            cold_share=rules["cold-from"],
+            cold_time=seconds(rules["cold-ns"]),
+            fall_multiple=rules["tip-multiple"],
+            fall_time=seconds(rules["fall-ns"]),
+            ask_within=seconds(rules.get("ask-within-ns", 0)),
+            extra_window=seconds(rules.get("look-back-ns", 0)),
+            extra_floor=rules.get("extra-floor", 0.0),
+            extra_share=rules.get("extra-per-request", 0.0),
+        ),
+        limits=api.Limits(
+            max_attempts=allowed["max-attempts"],
+            open_cap=allowed["open-cap"],
+            cancelling=allowed["cancelling"],
+            probing=allowed["probing"],
+            second_copies=allowed["may-duplicate"],
+            retry_after=allowed["retry-after"],
+            max_retry_after=seconds(allowed.get("max-retry-after-ns", 0)),
+        ),
+        prices=api.Prices(deductions.get("late-fail", 0.0), deductions.get("waste", 0.0)),
+        must_ask=profile["discovery"] == "ask",
+        marks_retry=profile.get("callers", {}).get("marks-retry", False),
+        over_share_worth=profile.get("over-share-worth", 1.0),
+        tick=seconds(profile.get("period-ns", 0)),
+    )
+
+
+def parse_entry(line: Fields) -> api.ServerEntry:
+    return api.ServerEntry(
+        server=line["node"],
+        zone=line["locality"],
+        cell=line.get("set-no", 0),
+        state=STATES[line["lifecycle"]],
+        size=line.get("size", 1.0),
+        up_since=seconds(line.get("up-since-ns", 0)),
+    )
+
+
+def parse_ask(fields: Fields) -> api.Event:
+    if fields["shard"] >= 0:
+        return api.PartArrived(
+            part_id=fields["request-id"],
+            number=fields["whole-no"],
+            shard=fields["shard"],
+            weight=fields["amount"],
+            effort=seconds(fields.get("effort-ns", 0)),
+        )
+    return api.QueryArrived(
+        query_id=fields["request-id"],
+        number=fields["whole-no"],
+        class_name=fields["category"],
+        deadline=seconds(fields["valid-until-ns"]),
+        tenant=str(fields.get("billing", "")),
+        key=fields.get("target-key", ""),
+        effort=seconds(fields.get("effort-ns", 0)),
+        retry=fields.get("retry", False),
+    )
+
+
+def parse_response(fields: Fields) -> api.Event:
+    return api.AttemptEnded(
+        part_id=fields["request-id"],
+        attempt=fields.get("go", 0),
+        server=fields["node"],
+        outcome=OUTCOMES[fields["ending"]],
+        elapsed=seconds(fields.get("wait-time-ns", 0)),
+        part_over=fields.get("terminal", False),
+        load=fields.get("health-info") or {},
+    )
+
+
+def parse_probe(fields: Fields) -> api.Event:
+    return api.ProbeEnded(
+        server=fields["node"],
+        outcome=OUTCOMES[fields["ending"]],
+        elapsed=seconds(fields.get("wait-time-ns", 0)),
+        load=fields.get("health-info") or {},
+    )
+
+
+PARSERS: dict[str, Callable[[Fields], api.Event]] = {
+    "ASK": parse_ask,
+    "RESPONSE": parse_response,
+    "PROBE_DONE": parse_probe,
+    "DROPPED": lambda fields: api.QueryGone(fields["request-id"]),
+    "DUE": lambda fields: api.TimerDue(fields["ctx"]),
+}
+
+
+def encode(instance: str, action: api.Action) -> dict[str, Fields]:
+    fields: Fields = {"i": instance}
+    match action:
+        case api.Send():
+            name = "RELAY"
+            fields |= {"request-id": action.part_id, "node": action.server}
+            fields["max-wait-ns"] = nanoseconds(action.timeout)
+        case api.Cancel():
+            name = "UNDO_SEND"
+            fields |= {"request-id": action.part_id, "go": action.attempt}
+        case api.Answer():
+            name = "ASSEMBLE"
+            fields |= {"request-id": action.query_id, "on": action.whole}
+        case api.Refuse():
+            name = "NOT_NOW"
+            fields |= {"request-id": action.query_id, "backoff-ns": nanoseconds(action.retry_after)}
+        case api.Fail():
+            name = "DROP_REQUEST"
+            fields["request-id"] = action.query_id
+        case api.SetTimer():
+            name = "TIMER"
+            fields |= {"instant-ns": nanoseconds(action.at), "ctx": action.token}
+        case api.Probe():
+            name = "HEALTH_CHECK"
+            fields["node"] = action.server
+        case api.Watch():
+            name = "KEEP_INFORMED"
+            fields["on"] = True
+        case api.FetchList():
+            name = "PULL"
+    return {name: fields}
+
+
+class Link:
+    """The instances of one process, each with its own aggregator."""
+
+    def __init__(self) -> None:
+        self.aggregators: dict[str, Aggregator] = {}
+        self.tables: dict[int, tuple[api.ServerEntry, ...]] = {}
+
+    def reply(self, line: str) -> str:
+        try:
+            batch = json.loads(line)
+            now = seconds(batch["clock-ns"])
+            serial = batch["serial"]
+            outbox: list[dict[str, Fields]] = []
+            pending: dict[str, list[api.Event]] = {}
+            for item in batch["items"]:
+                ((name, fields),) = item.items()
+                self.take(name, fields, now, pending, outbox)
+        except WireError:
+            raise
+        except (ValueError, KeyError, TypeError, IndexError, AttributeError) as error:
+            raise WireError(f"malformed line: {type(error).__name__}: {error}") from error
+        for instance, events in pending.items():
+            self.run(instance, now, events, outbox)
+        return json.dumps({"serial": serial, "outbox": outbox}, separators=(",", ":"))
+
+    def take(
+        self,
+        name: str,
+        fields: Fields,
+        now: float,
+        pending: dict[str, list[api.Event]],
+        outbox: list[dict[str, Fields]],
+    ) -> None:
+        if name == "LIST":
+            self.tables[fields["table"]] = tuple(parse_entry(line) for line in fields["lines"])
+        elif name == "START":
+            try:
+                settings = parse_settings(fields["profile-data"])
+            except (KeyError, ValueError, TypeError, IndexError, AttributeError) as error:
+                raise WireError(f"setting missing or malformed: {type(error).__name__}: {error}") from error
+            self.aggregators[fields["i"]] = Aggregator(settings, fields["prng"])
+            pending[fields["i"]] = []
+        elif name == "CRASH_NOW":
+            # What came before in this batch dies with the instance.
+            self.aggregators.pop(fields["i"], None)
+            pending.pop(fields["i"], None)
+        elif name == "SYNC":
+            kind = LIST_KINDS[fields["mode"]]
+            entries = () if kind is api.ListKind.FAILED else self.tables[fields["table"]]
+            pending.setdefault(fields["i"], []).append(api.ListReceived(kind, entries))
+        elif name in PARSERS:
+            pending.setdefault(fields["i"], []).append(PARSERS[name](fields))
+
+    def run(
+        self, instance: str, now: float, events: list[api.Event], outbox: list[dict[str, Fields]]
+    ) -> None:
+        aggregator = self.aggregators.get(instance)
+        if aggregator is None:
+            return
+        try:
+            outbox += [encode(instance, action) for action in aggregator.handle(now, events)]
+        except Exception as error:
+            text = f"{type(error).__name__}: {error}"
+            outbox.append({"INTERNAL_ERROR": {"i": instance, "reason-text": text}})
+            print(f"benchlink: {instance}: {text}", file=sys.stderr)
+
+
+def main(source: TextIO = sys.stdin, sink: TextIO = sys.stdout) -> int:
+    link = Link()
+    for line in source:
+        try:
+            reply = link.reply(line)
+        except WireError as error:
+            print(f"benchlink: {error}", file=sys.stderr)
+            return 1
+        sink.write(reply + "\n")
+        sink.flush()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/stepknot/interface.py
@@ -0,0 +1,261 @@
+"""The interface of stepknot: settings, events and actions.
+
+A caller makes one `stepknot.Aggregator(settings, seed)` and hands it events with the time at which they
+happened: `handle(now, events) -> list[Action]`. The actions take effect at that time, in their order.
+Times and durations are seconds; the clock has no fixed start and never goes backwards. A query comes as one
+`QueryArrived`, its parts as `PartArrived` in the same call. Attempts of a part are numbered from 0 in the
+order of their `Send` actions.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class Effect(Enum):
+    """What a repeated part does."""
+
+    SAFE = "safe"  # nothing
+    KEYED = "keyed"  # nothing within the class's repeat window
+    UNSAFE = "unsafe"  # its effect a second time
+
+
+class Outcome(Enum):
+    """How an attempt or a probe ended."""
+
+    SERVED = "served"
+    ERROR = "error"
+    REJECTED = "rejected"  # turned away unseen
+    TIMED_OUT = "timed out"
+    NOT_CONNECTED = "not connected"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    NOT_SENT = "not sent"
+
+    @property
+    def never_ran(self) -> bool:
+        """Whether this outcome proves that the attempt never ran."""
+        return self in (Outcome.REJECTED, Outcome.NOT_CONNECTED, Outcome.NOT_SENT)
+
+
+class ServerState(Enum):
+    LIVE = "live"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class ListKind(Enum):
+    CHANGES = "changes"
+    FULL = "full"
+    CACHED = "cached"  # the full list as last had, perhaps stale
+    FAILED = "failed"  # a call failed or the subscription broke; no entries
+
+
+@dataclass(frozen=True, slots=True)
+class QueryClass:
+    """A class of query. An answer within `aim` earns `worth`, a later one `late_value` of it."""
+
+    name: str
+    aim: float
+    deadline: float
+    worth: float
+    late_value: float = 0.0
+    effect: Effect = Effect.SAFE
+    repeat_window: float = 0.0
+    need: float = 1.0  # share of the weight that makes a whole answer
+    floor: float = 1.0  # least share for any answer
+    partial_value: float = 0.0  # an answer that is not whole earns this x share / need
+    second_step_parts: int = 0
+
+    @property
+    def all_parts(self) -> bool:
+        return self.floor >= 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    name: str
+    share: float
+    quota_per_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Rules:
+    drain_grace: float
+    cold_share: float  # a server starts with this share of its capacity or more ...
+    cold_time: float  # ... and is warm after this long at most
+    fall_multiple: float  # sent more than this many times its present capacity ...
+    fall_time: float  # ... for this long, it falls over
+    ask_within: float = 0.0  # without a subscription, ask for the list this often (0: no such rule)
+    extra_window: float = 0.0  # the attempt budget's window (0: no budget)
+    extra_floor: float = 0.0
+    extra_share: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    max_attempts: int
+    open_cap: int
+    cancelling: bool = False
+    probing: bool = False
+    second_copies: bool = False
+    retry_after: bool = False
+    max_retry_after: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Prices:
+    """What is taken off the service for each unit."""
+
+    late_failure: float = 0.0
+    waste: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    instances: int
+    zone: str
+    cells: int  # shard s is held by the servers of cells (s + j) mod cells, j < reach
+    reach: int
+    parts_per_call: int
+    classes: dict[str, QueryClass]
+    tenants: dict[str, Tenant]
+    rules: Rules
+    limits: Limits
+    prices: Prices = Prices()
+    must_ask: bool = False  # the list's changes come only when asked for
+    marks_retry: bool = False
+    over_share_worth: float = 1.0
+    tick: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class ServerEntry:
+    server: str
+    zone: str
+    cell: int
+    state: ServerState
+    size: float = 1.0
+    up_since: float = 0.0  # 0: long ago
+
+
+@dataclass(frozen=True, slots=True)
+class ListReceived:
+    kind: ListKind
+    entries: tuple[ServerEntry, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class QueryArrived:
+    query_id: int
+    number: int  # its parts carry the same
+    class_name: str
+    deadline: float
+    tenant: str = ""
+    key: str = ""
+    effort: float = 0.0  # expected work of all parts, 0: not told
+    retry: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class PartArrived:
+    part_id: int
+    number: int
+    shard: int
+    weight: float
+    effort: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    part_id: int
+    attempt: int
+    server: str
+    outcome: Outcome
+    elapsed: float
+    part_over: bool = False
+    load: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class QueryGone:
+    query_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class TimerDue:
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeEnded:
+    server: str
+    outcome: Outcome
+    elapsed: float
+    load: dict[str, float] = field(default_factory=dict)
+
+
+Event = ListReceived | QueryArrived | PartArrived | AttemptEnded | QueryGone | TimerDue | ProbeEnded
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Start an attempt; sends to one server in one call of `handle` may travel as one call."""
+
+    part_id: int
+    server: str
+    timeout: float
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    part_id: int
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Answer a query from the parts served. With a second step, the first of two."""
+
+    query_id: int
+    whole: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Final: turned away, trying again is harmless."""
+
+    query_id: int
+    retry_after: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Fail:
+    """Final: given up, with no promise about its effect."""
+
+    query_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class SetTimer:
+    at: float
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    server: str
+
+
+@dataclass(frozen=True, slots=True)
+class Watch:
+    """Ask for the list's changes from now on."""
+
+
+@dataclass(frozen=True, slots=True)
+class FetchList:
+    """Ask for the whole list once."""
+
+
+Action = Send | Cancel | Answer | Refuse | Fail | SetTimer | Probe | Watch | FetchList
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,157 @@
+"""The six rules under generated event sequences; the driver in `helpers` checks each action."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from stepknot.interface import AttemptEnded, ListKind, Outcome, QueryGone, ServerState, SetTimer, TimerDue
+from tests.helpers import FLEET, SLACK, Driver, entry, make_settings, rules
+
+CLASS_NAMES = ["all", "some", "keyed", "unsafe", "steps", "need"]
+ENDINGS = list(Outcome)
+
+STEP = st.one_of(
+    st.tuples(
+        st.just("query"),
+        st.sampled_from(CLASS_NAMES),
+        st.lists(st.integers(0, 5), min_size=1, max_size=5),
+        st.sampled_from([0.0, 0.05, 0.8, 3.0]),
+    ),
+    st.tuples(st.just("end"), st.integers(0, 50), st.sampled_from(ENDINGS), st.floats(0.0, 2.0)),
+    st.tuples(st.just("wait"), st.floats(0.0, 1.5)),
+    st.tuples(st.just("gone"), st.integers(0, 20)),
+    st.tuples(st.just("list"), st.integers(0, 5), st.sampled_from(list(ServerState)), st.booleans()),
+    st.tuples(st.just("full"), st.sets(st.integers(0, 5))),
+    st.tuples(st.just("stale"), st.integers(0, 10_000)),
+    st.tuples(st.just("failed")),
+)
+
+
+class Play:
+    """Steps against a driver; timers come due in order, as the clock passes them."""
+
+    def __init__(self, **changes: object) -> None:
+        self.driver = Driver(make_settings(**changes))
+        self.timers: list[SetTimer] = []
+        self.note()
+
+    def note(self) -> None:
+        driver = self.driver
+        self.timers += [action for action in driver.acts if isinstance(action, SetTimer)]
+        # A first answer brings a second step's parts.
+        for query, _ in list(driver.first_whole.items()):
+            if query not in driver.finals and all(part in driver.over for part in driver.parts[query]):
+                driver.handle(*driver.part_events(query, [0, 1]))
+                self.note()
+
+    def wait(self, span: float) -> None:
+        driver, end = self.driver, self.driver.now + span
+        while True:
+            due = min((timer for timer in self.timers), key=lambda timer: timer.at, default=None)
+            if due is None or due.at > end:
+                break
+            self.timers.remove(due)
+            driver.at(due.at + 0.004)
+            driver.handle(TimerDue(due.token))
+            self.note()
+        driver.at(end)
+        driver.handle()
+
+    def step(self, step: tuple[object, ...]) -> None:
+        driver = self.driver
+        match step:
+            case ("query", str(kind), list(shards), float(left)):
+                driver.query(kind, shards, deadline=driver.now + left)
+            case ("end", int(index), Outcome() as outcome, float(elapsed)):
+                out = driver.out()
+                if out:
+                    part, number = out[index % len(out)]
+                    driver.end(part, outcome, elapsed, number)
+            case ("wait", float(span)):
+                self.wait(span)
+            case ("gone", int(index)):
+                held = [query for query in driver.kinds if query not in driver.finals]
+                if held:
+                    driver.gone(held[index % len(held)])
+            case ("list", int(index), ServerState() as state, bool(cold)):
+                old = FLEET[index]
+                up = driver.now if cold and state is ServerState.LIVE else 0.0
+                driver.list([entry(old.server, old.cell, state, up)], ListKind.CHANGES)
+            case ("full", set(named)):
+                driver.list([FLEET[index] for index in sorted(named)])
+            case ("failed",):
+                driver.list([], ListKind.FAILED)
+            case ("stale", int(number)):
+                driver.handle(
+                    TimerDue(number),
+                    QueryGone(number + 90_000),
+                    AttemptEnded(number + 90_000, 0, "s0a", Outcome.SERVED, 0.1),
+                )
+        self.note()
+
+
+def play(steps: list[tuple[object, ...]], **changes: object) -> None:
+    game = Play(**changes)
+    for step in steps:
+        game.step(step)
+    game.wait(4.0)
+    driver = game.driver
+    for query, (_, deadline) in driver.kinds.items():
+        assert query in driver.finals, f"query {query} has no final answer by {deadline + SLACK}"
+    for part, number in driver.out():
+        driver.end(part, Outcome.CANCELLED, 0.5, number)
+    assert all(capsule.out == 0 for capsule in driver.aggregator.capsules.values())
+    assert not driver.aggregator.attempts and not driver.aggregator.queries
+
+
+@settings(max_examples=150, deadline=None, derandomize=True, database=None)
+@given(st.lists(STEP, max_size=40))
+def test_the_rules_hold_whatever_comes(steps: list[tuple[object, ...]]) -> None:
+    play(steps)
+
+
+@settings(max_examples=100, deadline=None, derandomize=True, database=None)
+@given(st.lists(STEP, max_size=40))
+def test_the_rules_hold_with_a_budget_a_ring_and_a_list_to_ask_for(steps: list[tuple[object, ...]]) -> None:
+    play(
+        steps,
+        cells=2,
+        reach=2,
+        must_ask=True,
+        rules=rules(extra_window=5.0, extra_floor=2.0, extra_share=0.2),
+    )
+
+
+@settings(max_examples=100, deadline=None, derandomize=True, database=None)
+@given(st.lists(STEP, max_size=40))
+def test_the_rules_hold_where_parts_share_calls(steps: list[tuple[object, ...]]) -> None:
+    play(steps, parts_per_call=4)
+
+
+def test_a_draining_or_dropped_server_gets_nothing_new() -> None:
+    driver = Driver()
+    driver.list([entry("s0a", state=ServerState.DRAINING)], ListKind.CHANGES)
+    driver.list([item for item in FLEET if item.server != "s0b"] + [entry("s0a", state=ServerState.DRAINING)])
+    for _ in range(6):
+        driver.query("all", [0])
+        assert [send.server for send in driver.sends()] == ["s0c"]
+
+
+def test_a_server_back_under_its_id_is_cold_and_gets_a_fair_part() -> None:
+    driver = Driver(fleet=[entry("s0a"), entry("s1a", 1)])
+    query = driver.query("all", [1])
+    driver.end(next(iter(driver.parts[query])))
+    driver.list([entry("s0a", state=ServerState.GONE)], ListKind.CHANGES)
+    driver.list([entry("s0a", up_since=driver.now)], ListKind.CHANGES)
+    sent = 0
+    for _ in range(10):
+        driver.query("all", [0])
+        sent += len(driver.sends())
+    assert 1 <= sent <= 3  # 3 x 0.2 x 1 s / 0.1 s for two instances
+
+
+def test_an_unsafe_query_that_may_have_run_is_failed_not_refused() -> None:
+    driver = Driver()
+    query = driver.query("unsafe", [0])
+    driver.end(next(iter(driver.parts[query])), Outcome.ERROR)
+    assert type(driver.finals[query]).__name__ == "Fail"
+    assert len(driver.attempts[next(iter(driver.parts[query]))]) == 1
