Derive the watermark from what a server is seen to finish

Cause: beta 40 is far above what any server here does within the aim, so nothing was refused or shortened while all parts timed out and clients asked again. Beta is now 0.6 of the shortest base wait over the pace (response time by the number out). It also covers any slowness shared by all servers; it may refuse too early where one slow sample on an idle server stands for its pace.

--- a/stepknot/logic.py
+++ b/stepknot/logic.py
@@ -17,9 +17,12 @@
     SetTimer, Settings, TimerDue, Watch,
 )
 
-BETA = 40.0  # the wait is nothing at this many out (the design page's value)
-ALPHA = BETA / 4  # and shrinks from this many on
-REFUSAL_BOUND = BETA  # all-parts queries are refused from this many on
+# The watermark beta is what a server is seen to finish within this share of the shortest base wait of all
+# classes: a queue that the most hurried class can bear. A fixed count is far off on most fleets (40 was never
+# reached here while everything timed out). The rest is for the spread of work and for the other brokers.
+BETA_SHARE = 0.6
+LEAST_BETA = 2.0  # however slow a server was seen to be: with nothing out nothing would be learnt
+ALPHA_SHARE = 0.25  # of beta: from here on the wait shrinks; all-parts queries are refused from beta on
 MARGIN = 0.05  # share of the aim kept back for the way to the client: the base wait is the rest
 SECOND_STEP = 1 / 3  # share of the base wait kept back for a second step, which has fewer and lighter parts
 UNHEARD = 0.1  # mean response time, in aims, before any server was heard
@@ -37,6 +40,7 @@
     entry: ServerEntry
     calls: dict[tuple[int, int], int] = field(default_factory=dict)  # (turn, call of that turn) -> parts out
     mean: float | None = None
+    pace: float | None = None  # recent response time divided by the number out when it was sent
     turn: int = -1  # the turn of the last send, and how many parts were sent in it
     turn_parts: int = 0
     sends: list[float] = field(default_factory=list)  # times of sends while cold
@@ -45,12 +49,16 @@
     def out(self) -> int:
         return len(self.calls)
 
-    def hear(self, elapsed: float, censored: bool) -> None:
+    def hear(self, elapsed: float, out: int, censored: bool) -> None:
         """A response time; a censored one (timed out, cancelled) tells only that it would be longer."""
-        if self.mean is None:
-            self.mean = elapsed
-        elif not censored or elapsed > self.mean:
-            self.mean += MEAN_WEIGHT * (elapsed - self.mean)
+        self.mean = blend(self.mean, elapsed, censored)
+        self.pace = blend(self.pace, elapsed / max(out, 1), censored)
+
+
+def blend(old: float | None, sample: float, censored: bool) -> float:
+    if old is None:
+        return sample
+    return old if censored and sample <= old else old + MEAN_WEIGHT * (sample - old)
 
 
 @dataclass(slots=True)
@@ -91,6 +99,7 @@
     call: tuple[int, int]
     part: Part
     query: Query
+    out: int  # what was out there with it
 
 
 class Aggregator:
@@ -109,6 +118,7 @@
         self.now = 0.0
         self.turn = 0
         self.watching = False
+        self.shortest_wait = min((kind.aim * (1 - MARGIN) for kind in settings.classes.values()), default=1.0)
 
     def handle(self, now: float, events: list[Event]) -> list[Action]:
         self.now, self.actions = now, []
@@ -170,6 +180,13 @@
         heard = [other.mean for other in self.capsules.values() if other.mean is not None]
         return sum(heard) / len(heard) if heard else kind.aim * UNHEARD
 
+    def beta(self, capsule: Capsule, kind: QueryClass) -> float:
+        pace = capsule.pace
+        if pace is None:
+            heard = [other.pace for other in self.capsules.values() if other.pace is not None]
+            pace = sum(heard) / len(heard) if heard else kind.aim * UNHEARD
+        return max(LEAST_BETA, BETA_SHARE * self.shortest_wait / max(pace, EPSILON))
+
     def has_room(self, capsule: Capsule, kind: QueryClass, planned: dict[str, int]) -> bool:
         """Whether a cold server may get one more part: this instance's fair part of what makes it fall over.
 
@@ -217,12 +234,13 @@
             if capsule is None:
                 continue
             out, _ = self.load(capsule, planned)
-            wait = left
+            wait, beta = left, self.beta(capsule, kind)
+            alpha = ALPHA_SHARE * beta
             if kind.all_parts:
-                if out >= REFUSAL_BOUND:
+                if out >= beta:
                     continue
-            elif out > ALPHA:
-                wait = min(left, max(0.0, left * (BETA - out) / (BETA - ALPHA)))
+            elif out > alpha:
+                wait = max(0.0, left * (beta - out) / (beta - alpha))
             if wait >= self.mean(capsule, kind):
                 plan.append((part, capsule, wait))
                 planned[capsule.entry.server] = planned.get(capsule.entry.server, 0) + 1
@@ -263,10 +281,11 @@
         capsule.turn_parts += 1
         capsule.calls[call] = capsule.calls.get(call, 0) + 1
         capsule.sends.append(self.now)
-        self.attempts[part.part_id, part.attempts] = Attempt(capsule.entry.server, call, part, query)
+        server = capsule.entry.server
+        self.attempts[part.part_id, part.attempts] = Attempt(server, call, part, query, capsule.out)
         part.attempts += 1
         part.out += 1
-        self.actions.append(Send(part.part_id, capsule.entry.server, wait))
+        self.actions.append(Send(part.part_id, server, wait))
 
     def on_attempt_ended(self, event: AttemptEnded) -> None:
         attempt = self.attempts.pop((event.part_id, event.attempt), None)
@@ -280,7 +299,7 @@
             if not capsule.calls[attempt.call]:
                 del capsule.calls[attempt.call]
             if event.outcome in (Outcome.SERVED, Outcome.TIMED_OUT, Outcome.CANCELLED):
-                capsule.hear(event.elapsed, event.outcome is not Outcome.SERVED)
+                capsule.hear(event.elapsed, attempt.out, event.outcome is not Outcome.SERVED)
         if event.outcome is Outcome.SERVED:
             part.served = True
         part.may_have_run |= not event.outcome.never_ran
