Send failed parts again, hold failures in the count, end hopeless queries at once

Cause: a replica that fails quickly keeps n near zero and draws the parts (fast_errors, crash, hang), and one failed part lost its query. The hold covers refused connections and servers that swallow work too; it could hurt where a failure says nothing about its server, so it weighs only in the choice, never in refusals.

--- a/stepknot/logic.py
+++ b/stepknot/logic.py
@@ -9,6 +9,8 @@
 from __future__ import annotations
 
 import random
+from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from stepknot.interface import (
@@ -27,6 +29,10 @@
 SECOND_STEP = 1 / 3  # share of the base wait kept back for a second step, which has fewer and lighter parts
 UNHEARD = 0.1  # mean response time, in aims, before any server was heard
 MEAN_WEIGHT = 0.2  # of a new sample: about the last ten responses count
+# A failure counts as out, in the choice alone, for this many shortest waits, and twice as long for each further
+# one with no answer between. Else a server that fails quickly or forgets its work looks idle.
+FAILURE_HOLD = 4.0
+HOLD_DOUBLINGS = 2
 GUARD_TICKS = 4  # a final answer is given this many ticks before the client's time is up
 WATCH_RETRY = 0.25  # share of the ask-within rule after which a broken subscription is asked for again
 WATCH_TOKEN = 0  # timers carry a query's number plus one, or this
@@ -41,6 +47,8 @@
     calls: dict[tuple[int, int], int] = field(default_factory=dict)  # (turn, call of that turn) -> parts out
     mean: float | None = None
     pace: float | None = None  # recent response time divided by the number out when it was sent
+    failures: list[float] = field(default_factory=list)  # until when each counts as out
+    streak: int = 0  # failures since the last answer
     turn: int = -1  # the turn of the last send, and how many parts were sent in it
     turn_parts: int = 0
     sends: list[float] = field(default_factory=list)  # times of sends while cold
@@ -49,6 +57,14 @@
     def out(self) -> int:
         return len(self.calls)
 
+    def fail(self, now: float, hold: float) -> None:
+        self.failures.append(now + hold * 2 ** min(self.streak, HOLD_DOUBLINGS))
+        self.streak += 1
+
+    def failed(self, now: float) -> int:
+        self.failures = [until for until in self.failures if until > now]
+        return len(self.failures)
+
     def hear(self, elapsed: float, out: int, censored: bool) -> None:
         """A response time; a censored one (timed out, cancelled) tells only that it would be longer."""
         self.mean = blend(self.mean, elapsed, censored)
@@ -70,6 +86,8 @@
     out: int = 0
     served: bool = False
     may_have_run: bool = False
+    may_run_since: float | None = None  # the first send that is not known to have never run
+    tried: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -89,8 +107,9 @@
         return sum(part.weight for part in self.step if part.served)
 
     @property
-    def in_work(self) -> bool:
-        return any(part.out and not part.served for part in self.step)
+    def in_work(self) -> float:
+        """The weight that may still come."""
+        return sum(part.weight for part in self.step if part.out and not part.served)
 
 
 @dataclass(slots=True)
@@ -117,6 +136,8 @@
         self.fresh: dict[int, Query] = {}  # queries with parts not placed yet
         self.now = 0.0
         self.turn = 0
+        self.taken: deque[float] = deque()  # times of queries and parts, and of further attempts
+        self.extras: deque[float] = deque()
         self.watching = False
         self.shortest_wait = min((kind.aim * (1 - MARGIN) for kind in settings.classes.values()), default=1.0)
 
@@ -207,6 +228,7 @@
     # --- queries
 
     def on_query(self, event: QueryArrived) -> None:
+        self.taken.append(self.now)
         kind = self.settings.classes.get(event.class_name)
         if kind is None:
             self.actions.append(Refuse(event.query_id))
@@ -219,6 +241,7 @@
         query.wait_end = self.now + min(wait, event.deadline - guard - self.now)
 
     def on_part(self, event: PartArrived) -> None:
+        self.taken.append(self.now)
         query = self.queries.get(event.number)
         if query is not None:
             query.step.append(Part(event.part_id, event.shard, event.weight))
@@ -258,16 +281,17 @@
         joins = (sent + more) % size > 0
         return capsule.out - (-(sent + more) // size) + (-sent // size) - joins, joins
 
-    def choose(self, shard: int, kind: QueryClass, planned: dict[str, int]) -> Capsule | None:
+    def choose(self, shard: int, kind: QueryClass, planned: dict[str, int],
+               tried: Sequence[str] = ()) -> Capsule | None:
         """The replica with the fewest calls out; one formed in this turn takes a further part for nothing."""
         best: list[Capsule] = []
         least = (0, False)
         for step in range(self.settings.reach):
             for capsule in self.cells.get((shard + step) % self.settings.cells, []):
-                if not self.has_room(capsule, kind, planned):
+                if capsule.entry.server in tried or not self.has_room(capsule, kind, planned):
                     continue
                 out, joins = self.load(capsule, planned)
-                rank = (out, not joins)
+                rank = (out + capsule.failed(self.now), not joins)
                 if not best or rank < least:
                     best, least = [capsule], rank
                 elif rank == least:
@@ -285,6 +309,9 @@
         self.attempts[part.part_id, part.attempts] = Attempt(server, call, part, query, capsule.out)
         part.attempts += 1
         part.out += 1
+        part.tried.append(server)
+        if part.may_run_since is None:
+            part.may_run_since = self.now
         self.actions.append(Send(part.part_id, server, wait))
 
     def on_attempt_ended(self, event: AttemptEnded) -> None:
@@ -300,12 +327,47 @@
                 del capsule.calls[attempt.call]
             if event.outcome in (Outcome.SERVED, Outcome.TIMED_OUT, Outcome.CANCELLED):
                 capsule.hear(event.elapsed, attempt.out, event.outcome is not Outcome.SERVED)
-        if event.outcome is Outcome.SERVED:
-            part.served = True
+            if event.outcome is Outcome.SERVED:
+                capsule.streak = 0
+            elif event.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
+                capsule.fail(self.now, FAILURE_HOLD * self.shortest_wait)
+        part.served |= event.outcome is Outcome.SERVED
         part.may_have_run |= not event.outcome.never_ran
-        if self.queries.get(query.number) is query and not query.in_work:
+        if not part.out and not part.may_have_run:
+            part.may_run_since = None
+        if self.queries.get(query.number) is not query or part not in query.step:
+            return
+        if not part.served and not part.out and event.outcome is not Outcome.NOT_SENT:
+            self.send_again(query, part)
+        if query.served + query.in_work < query.kind.floor - EPSILON:
+            self.give_up(query)
+        elif not query.in_work:
             self.conclude(query)
 
+    def send_again(self, query: Query, part: Part) -> None:
+        """A failed part goes to another replica if it may be repeated and there is time and room."""
+        kind, limits = query.kind, self.settings.limits
+        if part.attempts >= limits.max_attempts or not self.may_repeat(kind, part) or not self.in_budget():
+            return
+        capsule = self.choose(part.shard, kind, {}, part.tried) or self.choose(part.shard, kind, {})
+        wait = query.wait_end - self.now
+        if capsule and capsule.out < self.beta(capsule, kind) and wait >= self.mean(capsule, kind):
+            self.extras.append(self.now)
+            self.send(query, part, capsule, wait)
+
+    def may_repeat(self, kind: QueryClass, part: Part) -> bool:
+        if kind.effect is Effect.SAFE or part.may_run_since is None:
+            return True
+        return kind.effect is Effect.KEYED and self.now < part.may_run_since + kind.repeat_window - EPSILON
+
+    def in_budget(self) -> bool:
+        rules = self.settings.rules
+        for times in (self.taken, self.extras):
+            while times and times[0] <= self.now - rules.extra_window:
+                times.popleft()
+        allowed = rules.extra_floor + rules.extra_share * len(self.taken)
+        return not rules.extra_window or len(self.extras) + 1 <= allowed
+
     def on_timer(self, token: int) -> None:
         if token == WATCH_TOKEN:
             if not self.watching:
