Scale the watermark by worth for a part and the tenant's share

Also covers a tenant's rush; it could hurt where worth for a part misleads, as with very unequal parts.

--- a/stepknot/benchlink.py
+++ b/stepknot/benchlink.py
@@ -106,6 +106,7 @@
         must_ask=profile["discovery"] == "ask",
         marks_retry=profile.get("callers", {}).get("marks-retry", False),
         over_share_worth=profile.get("over-share-worth", 1.0),
+        worth_by_work=profile.get("counted-by") == "work",
         tick=seconds(profile.get("period-ns", 0)),
     )
 
--- a/stepknot/interface.py
+++ b/stepknot/interface.py
@@ -127,6 +127,7 @@
     must_ask: bool = False  # the list's changes come only when asked for
     marks_retry: bool = False
     over_share_worth: float = 1.0
+    worth_by_work: bool = False  # a query's worth counts in proportion to its work
     tick: float = 0.0
 
 
--- a/stepknot/logic.py
+++ b/stepknot/logic.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import deque
 from dataclasses import dataclass, field
@@ -24,6 +25,11 @@
 BETA_SHARE = 0.6
 LEAST_BETA = 2.0  # however slow a server was seen to be: with nothing out nothing would be learnt
 ALPHA_SHARE = 0.25  # of beta: from here on the wait shrinks; all-parts queries are refused from beta on
+# Where servers near beta, work goes where it earns most: a query's beta grows with its worth for each part
+# against the recent mean, by the root, and within these bounds, so that no class or tenant starves.
+LEAST_FAVOUR, MOST_FAVOUR = 0.6, 1.5
+WORTH_WEIGHT = 0.02  # of a query in that mean
+RATE_SPAN = 5.0  # seconds over which a tenant's rate is counted
 MARGIN = 0.05  # share of the aim kept back for the way to the client: the base wait is the rest
 SECOND_STEP = 1 / 3  # share of the base wait kept back for a second step, which has fewer and lighter parts
 UNHEARD = 0.1  # mean response time, in aims, before any server was heard
@@ -122,6 +128,7 @@
     step: list[Part] = field(default_factory=list)  # the present step's parts
     first: list[Part] = field(default_factory=list)  # the first step's, once it is answered
     first_whole: bool = True
+    favour: float = 1.0
 
     @property
     def served(self) -> float:
@@ -158,6 +165,8 @@
         self.taken: deque[float] = deque()  # times of queries and parts, and of further attempts
         self.extras: deque[float] = deque()
         self.actions: list[Action] = []
+        self.rates: dict[str, tuple[float, float]] = {}  # tenant -> decaying count of queries, and its time
+        self.worth: float | None = None  # recent mean worth for a part
         self.now = 0.0
         self.turn = self.token = 0
         self.watching = False
@@ -267,7 +276,8 @@
     def wait_at(self, query: Query, capsule: Capsule, share: float = 1.0) -> float:
         """How long a part may wait for this server: 0 for one at its bound and for a part to be bypassed."""
         mean, pace = self.measure(capsule, query.kind)
-        beta = max(LEAST_BETA, BETA_SHARE * self.shortest_wait / max(pace, EPSILON)) * share
+        beta = BETA_SHARE * self.shortest_wait / max(pace, EPSILON) * query.favour
+        beta = max(LEAST_BETA, beta) * share
         alpha, left = ALPHA_SHARE * beta, query.wait_end - self.now
         out, _ = capsule.load(self.turn, self.settings.parts_per_call)
         wait = left if out < beta else 0.0
@@ -301,6 +311,8 @@
 
     def place(self, query: Query) -> None:
         """Choose a server and a wait for each part, or refuse the query before any send."""
+        if not query.first:
+            self.weigh(query)
         plan: list[tuple[Part, Capsule, tuple[int, int], float]] = []
         for part in query.step:
             capsule = self.choose(part.shard, query.kind, [])
@@ -316,6 +328,20 @@
         for part, capsule, call, wait in plan:
             self.send(query, part, capsule, call, wait)
 
+    def weigh(self, query: Query) -> None:
+        """A query's favour, by its worth for a part; a tenant's traffic beyond its share is worth less."""
+        worth = query.kind.worth / (1 if self.settings.worth_by_work else max(len(query.step), 1))
+        count, since = self.rates.get(query.tenant, (0.0, self.now))
+        count = 1.0 + count * math.exp((since - self.now) / RATE_SPAN)
+        self.rates[query.tenant] = (count, self.now)
+        tenant = self.settings.tenants.get(query.tenant)
+        if tenant is not None and count > 0:
+            within = min(1.0, tenant.quota_per_s / self.settings.instances * RATE_SPAN / count)
+            worth *= within + (1.0 - within) * self.settings.over_share_worth
+        mean = worth if self.worth is None else self.worth
+        self.worth = mean + WORTH_WEIGHT * (worth - mean)
+        query.favour = min(MOST_FAVOUR, max(LEAST_FAVOUR, math.sqrt(worth / max(self.worth, EPSILON))))
+
     def send(self, query: Query, part: Part, capsule: Capsule, call: tuple[int, int], wait: float) -> None:
         key = (part.part_id, len(part.tried))
         self.attempts[key] = Attempt(capsule, call, part, query, len(capsule.calls), self.now)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -1,7 +1,8 @@
 """One short test for each failure found."""
 
-from stepknot.interface import Answer, ListKind, Outcome, Refuse, SetTimer, TimerDue
-from tests.helpers import FLEET, Driver, entry, make_settings, rules
+from stepknot.interface import Answer, ListKind, Outcome, Refuse, SetTimer, Tenant, TimerDue
+from stepknot.logic import Aggregator, Part, Query
+from tests.helpers import CLASSES, FLEET, Driver, entry, make_settings, rules
 
 
 def busy(driver: Driver, rounds: int, elapsed: float) -> None:
@@ -118,3 +119,27 @@
         busy_server.fail(driver.now, 4.0)
     driver.list([entry("s0a", up_since=driver.now)], ListKind.CHANGES)
     assert driver.aggregator.capsules["s0a"].failed(driver.now) == 0
+
+
+def test_near_the_watermark_work_goes_where_it_earns_most() -> None:
+    def taken(kind: str) -> int:
+        driver = Driver()
+        busy(driver, 20, 0.2)
+        for _ in range(40):
+            driver.query(kind, [0])
+        return 40 - len(driver.finals.keys() & driver.kinds.keys()) + 20
+
+    assert taken("keyed") > taken("all") > 0  # twice the worth for a part
+
+
+def test_a_tenants_traffic_beyond_its_share_is_favoured_less() -> None:
+    tenants = {name: Tenant(name, 0.5, 4.0) for name in ("calm", "rush")}
+    aggregator = Aggregator(make_settings(tenants=tenants, over_share_worth=0.1), 1)
+    favours = {}
+    for step in range(200):
+        tenant = "calm" if step % 10 == 0 else "rush"
+        query = Query(step, step, CLASSES["all"], 0.0, 9.0, tenant, step=[Part(step, 0, 1.0)])
+        aggregator.now = step * 0.05
+        aggregator.weigh(query)
+        favours[tenant] = query.favour
+    assert favours["rush"] < favours["calm"]
