--- a/stepknot/logic.py
+++ b/stepknot/logic.py
@@ -34,10 +34,9 @@
 SECOND_STEP = 1 / 3  # share of the base wait kept back for a second step, which has fewer and lighter parts
 UNHEARD = 0.1  # mean response time, in aims, before any server was heard
 MEAN_WEIGHT = 0.2  # of a new sample: about the last ten responses count
-# A failure counts as out, in the choice alone, for so many shortest waits, twice as long for each further one
-# with no answer between. Else a server that fails quickly or forgets its work looks idle.
+# A failure counts as out, in the choice alone, for so many shortest waits. Else a server that fails quickly
+# or forgets its work looks idle.
 FAILURE_HOLD = 4.0
-HOLD_DOUBLINGS = 2
 OVERDUE = 4.0  # means after which a part at a server that has answered nothing since is copied elsewhere
 GUARD_TICKS = 4  # a final answer is given this many ticks before the client's time is up
 WATCH_RETRY = 0.25  # share of the ask-within rule after which a broken subscription is asked for again
@@ -56,7 +55,6 @@
     pace: float = 0.0  # the same divided by the number out when it was sent
     answered: float = 0.0  # when the last answer came
     failures: list[float] = field(default_factory=list)  # until when each counts as out
-    streak: int = 0  # failures since the last answer
     turn: int = -1  # the turn of the last send, and how many parts were sent in it
     turn_parts: int = 0
 
@@ -86,10 +84,6 @@
         self.turn_parts -= 1
         self.sends.pop()
 
-    def fail(self, now: float, hold: float) -> None:
-        self.failures.append(now + hold * 2 ** min(self.streak, HOLD_DOUBLINGS))
-        self.streak += 1
-
     def failed(self, now: float) -> int:
         self.failures = [until for until in self.failures if until > now]
         return len(self.failures)
@@ -363,10 +357,11 @@
         capsule.release(attempt.call)
         if event.outcome in (Outcome.SERVED, Outcome.TIMED_OUT, Outcome.CANCELLED):
             capsule.hear(event.elapsed, attempt.out, event.outcome is not Outcome.SERVED)
+        late = event.outcome is Outcome.TIMED_OUT and capsule.answered >= attempt.sent  # busy, not silent
         if event.outcome is Outcome.SERVED:
-            capsule.streak, capsule.answered = 0, self.now
-        elif event.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT) and not attempt.blamed:
-            capsule.fail(self.now, FAILURE_HOLD * self.shortest_wait)
+            capsule.answered = self.now
+        elif event.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT) and not late and not attempt.blamed:
+            capsule.failures.append(self.now + FAILURE_HOLD * self.shortest_wait)
         part.served |= event.outcome is Outcome.SERVED
         part.may_have_run |= not event.outcome.never_ran
         if not part.out and not part.may_have_run:
@@ -386,7 +381,7 @@
         if attempt.capsule.answered >= attempt.sent:
             return
         attempt.blamed = True
-        attempt.capsule.fail(self.now, FAILURE_HOLD * self.shortest_wait)
+        attempt.capsule.failures.append(self.now + FAILURE_HOLD * self.shortest_wait)
         held = self.queries.get(query.number) is query and part in query.step
         if held and self.settings.limits.second_copies and not part.served:
             self.send_again(query, part, ALPHA_SHARE)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -116,7 +116,7 @@
     driver = Driver(fleet=FLEET[:2])
     busy_server = driver.aggregator.capsules["s0a"]
     for _ in range(4):
-        busy_server.fail(driver.now, 4.0)
+        busy_server.failures.append(driver.now + 4.0)
     driver.list([entry("s0a", up_since=driver.now)], ListKind.CHANGES)
     assert driver.aggregator.capsules["s0a"].failed(driver.now) == 0
 
@@ -143,3 +143,13 @@
         aggregator.weigh(query)
         favours[tenant] = query.favour
     assert favours["rush"] < favours["calm"]
+
+
+def test_a_time_out_at_a_server_that_answers_others_is_load_not_failure() -> None:
+    """Held failures of a jam drew the work to a few servers and left others idle."""
+    driver = Driver(fleet=FLEET[:1])
+    late, good = driver.queries(("all", [0], None, None), ("all", [0], None, None))
+    driver.at(driver.now + 0.5)
+    driver.end(next(iter(driver.parts[good])), elapsed=0.5)
+    driver.end(next(iter(driver.parts[late])), Outcome.TIMED_OUT, 0.6)
+    assert driver.aggregator.capsules["s0a"].failed(driver.now) == 0
