Tell a lost part from a slow one

Nothing was copied, for no server was silent, and the time-outs swelled mean and pace until queries were refused. A part overtaken by later ones is lost now: copied like one at a silent server, and its time-out not heard. Told from slowness by servers that answer what was sent later, from a cut or hang by timeouts alike in all zones. Covers lossy links; may copy a heavy part that others overtake at a server with several slots.

--- a/stepknot/logic.py
+++ b/stepknot/logic.py
@@ -37,7 +37,7 @@
 # A failure counts as out, in the choice alone, for so many shortest waits. Else a server that fails quickly
 # or forgets its work looks idle.
 FAILURE_HOLD = 4.0
-OVERDUE = 4.0  # means after which a part at a server that has answered nothing since is copied elsewhere
+OVERDUE = 4.0  # means after which a part is copied elsewhere, if its server went silent or lost it
 GUARD_TICKS = 4  # a final answer is given this many ticks before the client's time is up
 WATCH_RETRY = 0.25  # share of the ask-within rule after which a broken subscription is asked for again
 EPSILON = 1e-6  # weights add up to 1 but for rounding
@@ -54,6 +54,7 @@
     mean: float = 0.0  # recent response time
     pace: float = 0.0  # the same divided by the number out when it was sent
     answered: float = 0.0  # when the last answer came
+    newest: float = 0.0  # when the latest-sent part that was answered was sent
     failures: list[float] = field(default_factory=list)  # until when each counts as out
     turn: int = -1  # the turn of the last send, and how many parts were sent in it
     turn_parts: int = 0
@@ -124,14 +125,9 @@
     first_whole: bool = True
     favour: float = 1.0
 
-    @property
-    def served(self) -> float:
-        return sum(part.weight for part in self.step if part.served)
-
-    @property
-    def in_work(self) -> float:
-        """The weight that may still come."""
-        return sum(part.weight for part in self.step if part.out and not part.served)
+    def weight(self, hoped: bool = False) -> float:
+        """The weight that came; hoped: with what may still come."""
+        return sum(part.weight for part in self.step if part.served or hoped and part.out)
 
 
 @dataclass(slots=True)
@@ -142,7 +138,6 @@
     query: Query
     out: int  # what was out there with it
     sent: float
-    blamed: bool = False  # whether its silence was counted as a failure already
 
 
 class Aggregator:
@@ -284,7 +279,7 @@
     def on_query(self, event: QueryArrived) -> None:
         self.taken.append(self.now)
         kind = self.settings.classes.get(event.class_name)
-        if kind is None:
+        if kind is None:  # nothing is known of what it may do or bear
             self.actions.append(Refuse(event.query_id))
             return
         query = Query(event.query_id, event.number, kind, self.now, event.deadline, event.tenant)
@@ -355,35 +350,44 @@
         part, query, capsule = attempt.part, attempt.query, attempt.capsule
         part.out -= 1
         capsule.release(attempt.call)
-        if event.outcome in (Outcome.SERVED, Outcome.TIMED_OUT, Outcome.CANCELLED):
-            capsule.hear(event.elapsed, attempt.out, event.outcome is not Outcome.SERVED)
-        late = event.outcome is Outcome.TIMED_OUT and capsule.answered >= attempt.sent  # busy, not silent
+        censored = event.outcome in (Outcome.TIMED_OUT, Outcome.CANCELLED)
+        if event.outcome is Outcome.SERVED or censored and capsule.newest <= attempt.sent:  # else it was lost
+            capsule.hear(event.elapsed, attempt.out, censored)
+        busy = event.outcome is Outcome.TIMED_OUT and capsule.answered >= attempt.sent  # it answers others
         if event.outcome is Outcome.SERVED:
-            capsule.answered = self.now
-        elif event.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT) and not late and not attempt.blamed:
-            capsule.failures.append(self.now + FAILURE_HOLD * self.shortest_wait)
+            capsule.answered, capsule.newest = self.now, max(capsule.newest, attempt.sent)
+        elif event.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT) and not busy:
+            self.hold(capsule)
         part.served |= event.outcome is Outcome.SERVED
         part.may_have_run |= not event.outcome.never_ran
         if not part.out and not part.may_have_run:
             part.may_run_since = None
-        if self.queries.get(query.number) is not query or part not in query.step:
+        if not self.held(query, part):
             return
         if not part.served and not part.out and event.outcome is not Outcome.NOT_SENT:
             self.send_again(query, part, 1.0)
-        if query.served + query.in_work < query.kind.floor - EPSILON:
+        if query.weight(hoped=True) < query.kind.floor - EPSILON:
             self.give_up(query)  # hopeless: nothing more is spent on it
-        elif not query.in_work:
+        elif all(each.served or not each.out for each in query.step):
             self.conclude(query)
 
+    def hold(self, capsule: Capsule) -> None:
+        capsule.failures.append(self.now + FAILURE_HOLD * self.shortest_wait)
+
+    def held(self, query: Query, part: Part) -> bool:
+        return self.queries.get(query.number) is query and part in query.step
+
     def on_overdue(self, attempt: Attempt) -> None:
-        """Guards against servers that take work and go silent, and cut links; not against mere queueing."""
-        query, part = attempt.query, attempt.part
-        if attempt.capsule.answered >= attempt.sent:
+        """Guards against silent servers, cut links and lost answers: a copy, unless the part just queues.
+
+        A server that answered nothing since is silent; one that answered what was sent later lost the part.
+        """
+        query, part, capsule = attempt.query, attempt.part, attempt.capsule
+        if capsule.answered < attempt.sent:
+            self.hold(capsule)
+        elif capsule.newest <= attempt.sent:
             return
-        attempt.blamed = True
-        attempt.capsule.failures.append(self.now + FAILURE_HOLD * self.shortest_wait)
-        held = self.queries.get(query.number) is query and part in query.step
-        if held and self.settings.limits.second_copies and not part.served:
+        if self.settings.limits.second_copies and not part.served and self.held(query, part):
             self.send_again(query, part, ALPHA_SHARE)
 
     def send_again(self, query: Query, part: Part, share: float) -> None:
@@ -415,10 +419,10 @@
         if query.number in self.fresh:
             return
         kind, second = query.kind, bool(query.first)
-        if not query.step or query.served < kind.floor - EPSILON:
+        if not query.step or query.weight() < kind.floor - EPSILON:
             self.give_up(query)
             return
-        whole = query.first_whole and query.served >= (1.0 if second else kind.need) - EPSILON
+        whole = query.first_whole and query.weight() >= (1.0 if second else kind.need) - EPSILON
         self.actions.append(Answer(query.query_id, whole))
         if kind.second_step_parts and not second:
             self.cancel(query)
