Alpha at half of beta, beta at 0.7 of the shortest base wait

Cause: on a small fleet one query's own parts pass a quarter of beta, so waits shrank and whole answers were cut in ordinary load.

--- a/stepknot/logic.py
+++ b/stepknot/logic.py
@@ -22,9 +22,10 @@
 # The watermark beta is what a server is seen to finish within this share of the shortest base wait of all
 # classes: a queue that the most hurried class can bear. A fixed count is far off on most fleets (40 was never
 # reached here while everything timed out). The rest is for the spread of work and for the other brokers.
-BETA_SHARE = 0.6
+BETA_SHARE = 0.7
 LEAST_BETA = 2.0  # however slow a server was seen to be: with nothing out nothing would be learnt
-ALPHA_SHARE = 0.25  # of beta: from here on the wait shrinks; all-parts queries are refused from beta on
+ALPHA_SHARE = 0.5  # of beta: from here on the wait shrinks; all-parts queries are refused from beta on
+COPY_SHARE = 0.25  # of beta: a copy goes only to a replica under it, so that copies never feed a jam
 # Where servers near beta, work goes where it earns most: a query's beta grows with its worth for each part
 # against the recent mean, by the root, and within these bounds, so that no class or tenant starves.
 LEAST_FAVOUR, MOST_FAVOUR = 0.6, 1.5
@@ -388,7 +389,7 @@
         elif capsule.newest <= attempt.sent:
             return
         if self.settings.limits.second_copies and not part.served and self.held(query, part):
-            self.send_again(query, part, ALPHA_SHARE)
+            self.send_again(query, part, COPY_SHARE)
 
     def send_again(self, query: Query, part: Part, share: float) -> None:
         """To another replica, if the part may be repeated and there is time, budget and room for it."""
