--- a/stepknot/logic.py
+++ b/stepknot/logic.py
@@ -241,8 +241,7 @@
     def has_room(self, capsule: Capsule, kind: QueryClass) -> bool:
         """Whether a cold server may get one more part: this instance's fair part of what makes it fall over.
 
-        Capacity is not told: a warm server is taken to finish one part each mean pace, as heard here (most do
-        more). Not the mean response time: it swells under load, just when a server that is back is needed.
+        Capacity is not told: a server is taken to do one part of mean response time at a time (most do more).
         """
         rules = self.settings.rules
         capsule.sends = [sent for sent in capsule.sends if sent > self.now - rules.fall_time]
@@ -250,7 +249,7 @@
         if capsule.entry.up_since <= 0 or age >= rules.cold_time:
             return True
         able = rules.cold_share + (1 - rules.cold_share) * age / rules.cold_time
-        work = self.measure(Capsule(capsule.entry), kind)[1]
+        work = min((each.mean for each in self.capsules.values() if each.heard), default=kind.aim * UNHEARD)
         budget = rules.fall_multiple * able * rules.fall_time / max(work, EPSILON) / self.settings.instances
         return len(capsule.sends) + 1 <= max(1.0, budget)
 
