Hold three errors at most

It may hurt where one server fails everything while the others have more than three out: its parts are then tried there once more.

--- a/stepknot/logic.py
+++ b/stepknot/logic.py
@@ -37,7 +37,7 @@
 MEAN_WEIGHT = 0.2  # of a new sample: about the last ten responses count
 # A failure counts as out, in the choice alone, for so many shortest waits. Else a server that fails quickly
 # or forgets its work looks idle.
-FAILURE_HOLD = 4.0
+FAILURE_HOLD, MOST_HELD = 4.0, 3  # so many errors at most: errors that all servers share must not unbalance
 OVERDUE = 4.0  # means after which a part is copied elsewhere, if its server went silent or lost it
 GUARD_TICKS = 4  # a final answer is given this many ticks before the client's time is up
 WATCH_RETRY = 0.25  # share of the ask-within rule after which a broken subscription is asked for again
@@ -357,7 +357,8 @@
         busy = event.outcome is Outcome.TIMED_OUT and capsule.answered >= attempt.sent  # it answers others
         if event.outcome is Outcome.SERVED:
             capsule.answered, capsule.newest = self.now, max(capsule.newest, attempt.sent)
-        elif event.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT) and not busy:
+        elif event.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT) and not busy and (
+                censored or capsule.failed(self.now) < MOST_HELD):
             capsule.failures.append(self.now + self.hold)
         part.served |= event.outcome is Outcome.SERVED
         part.may_have_run |= not event.outcome.never_ran
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -186,3 +186,17 @@
     driver.end(next(iter(driver.parts[first])), elapsed=0.3)
     driver.handle(due)
     assert not driver.sends() and query not in driver.finals
+
+
+def test_errors_are_held_a_few_at_most_and_silence_as_often_as_seen() -> None:
+    """Resets at all servers alike drew the work to whichever happened to have had fewest."""
+    driver = Driver(fleet=FLEET[:1])
+    for outcome, held in [(Outcome.RESET, 3), (Outcome.TIMED_OUT, 9)]:
+        for _ in range(6):
+            query = driver.query("some", [0])
+            (part,) = driver.parts[query]
+            driver.end(part, outcome, 0.05)
+            if driver.out():
+                driver.gone(query)
+                driver.end(part, Outcome.CANCELLED, attempt=1)
+        assert driver.aggregator.capsules["s0a"].failed(driver.now) == held
