--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 
-from stepknot.interface import Answer, Cancel, Outcome, Refuse, Send, SetTimer, TimerDue
+from stepknot.interface import Answer, Cancel, ListKind, Outcome, Refuse, Send, SetTimer, TimerDue, Watch
 from tests.helpers import FLEET, START, Driver, entry, make_settings
 
 
@@ -119,3 +119,30 @@
     half = Driver(fleet=FLEET[:3])
     assert isinstance(half.finals[half.query("all", [0, 1])], Refuse)
     assert half.query("some", [0, 1]) and any(isinstance(action, Send) for action in half.acts)
+
+
+def test_in_light_load_nothing_but_the_ordinary_path_acts() -> None:
+    """No departure shows: whole answers, full waits, one attempt a part, nothing called off or held."""
+    driver = Driver()
+    for _ in range(50):
+        query = driver.query("some", [0, 1])
+        assert {round(send.timeout, 6) for send in driver.sends()} == {0.95}
+        driver.at(driver.now + 0.1)
+        for part in list(driver.parts[query]):
+            driver.end(part)
+        assert driver.acts == [Answer(query, True)]
+    assert not driver.extras
+    assert not any(capsule.failures for capsule in driver.aggregator.capsules.values())
+
+
+def test_a_list_that_must_be_asked_for_is_watched_and_asked_for_again_after_a_failure() -> None:
+    driver = Driver(make_settings(must_ask=True))
+    assert driver.acts == [Watch()]
+    driver.list([], ListKind.FAILED)
+    (timer,) = [action for action in driver.acts if isinstance(action, SetTimer)]
+    assert driver.now < timer.at <= driver.now + driver.settings.rules.ask_within / 4
+    driver.query("all", [0])
+    assert driver.sends()  # the old list still holds
+    driver.end(next(iter(driver.parts[next(iter(driver.kinds))])))
+    driver.at(timer.at)
+    assert driver.handle(TimerDue(timer.token)) == [Watch()]
