--- a/stepknot/logic.py
+++ b/stepknot/logic.py
@@ -32,6 +32,7 @@
 # against the recent mean, by the root, and within these bounds, so that no class starves.
 LEAST_FAVOUR, MOST_FAVOUR = 0.6, 1.5
 WORTH_WEIGHT = 0.02  # of a query in that mean
+LEAST_TIME = 1.5  # means of time left, or a part is bypassed: clients that give up early waste the work
 MARGIN = 0.05  # share of the aim kept back for the way to the client: the base wait is the rest
 SECOND_STEP = 1 / 3  # share of the base wait kept back for a second step, which has fewer and lighter parts
 UNHEARD = 0.1  # mean response time, in shortest aims, before any server was heard
@@ -40,6 +41,7 @@
 # Where many aggregators share the servers, own parts say little of a load: the replicas are asked before a
 # send. A question may take so much of the aim, and a report counts for so much of the shortest base wait.
 ASK_SHARE, FRESH_SHARE = 0.03, 0.5
+UNANSWERED = 4  # what a question without an answer counts as out: who answers is better, even with a queue
 REPORT_TRUST = 0.5  # of what a report says, as it may be late, noisy, frozen or a lie
 # A failure counts as out, in the choice alone, for so many shortest waits. Else a server that fails quickly
 # or forgets its work looks idle.
@@ -155,15 +157,15 @@
     def has_room(self, capsule: Capsule) -> bool:
         """Whether a cold server may get one more part: this instance's fair part of what makes it fall over.
 
-        A server is taken to do one part of mean response time at a time: most do more. A fair part under one
-        in the time to fall means one in a longer time, first at a random moment.
+        A warm server is taken to finish what is seen to be finished, which is never more than it can. A fair
+        part under one in the time to fall means one in a longer time, first at a random moment.
         """
         rules = self.settings.rules
         age = max(self.now - capsule.entry.up_since, 0.0)
         if capsule.entry.up_since <= 0 or age >= rules.cold_time:
             return True
         able = rules.cold_share + (1 - rules.cold_share) * age / rules.cold_time
-        budget = rules.fall_multiple * able * rules.fall_time / self.measure()[0] / self.settings.instances
+        budget = rules.fall_multiple * able * rules.fall_time / self.measure()[1] / self.settings.instances
         if capsule.credit is None:
             capsule.credit = budget if budget >= 1 else self.random.random()
         else:
@@ -175,7 +177,7 @@
         """The replica with the fewest calls out; one formed in this turn takes a further part for nothing."""
         def rank(capsule: Capsule) -> tuple[float, bool, float]:
             out, opens = capsule.load(self.turn, self.settings.parts_per_call)
-            count = out + capsule.failed(self.now) + capsule.asked
+            count = out + capsule.failed(self.now) + UNANSWERED * capsule.asked
             # Reports count by powers of two: all aggregators see the same one, and must not all follow it.
             return count + int(math.log2(1 + self.others_at(capsule))), opens, self.random.random()
 
@@ -187,7 +189,7 @@
         """Ask a query's replicas for their load, unless all is known to be idle, and wait a little.
 
         Guards against blind choices where own counts are alike, and against servers that are down, cut off or
-        stand still: who does not answer in time has a question out, and that counts as out.
+        stand still: who does not answer in time has a question out, and that counts.
         """
         fresh_for = FRESH_SHARE * self.shortest_wait
         holders = [each for part in query.step for each in self.holders(part.shard)]
@@ -234,7 +236,7 @@
         wait = left if out < beta else 0.0
         if out > alpha and not query.kind.all_parts:
             wait = max(0.0, left * (beta - out) / (beta - alpha))
-        return wait if wait >= mean else 0.0
+        return wait if wait >= mean and left >= LEAST_TIME * mean else 0.0
 
     # --- queries
 
@@ -279,7 +281,7 @@
         plan = [attempt for part in query.step if (attempt := self.plan(query, part))]
         if sum(attempt.part.weight for attempt in plan) < max(query.kind.floor - EPSILON, EPSILON):
             for attempt in plan:
-                attempt.capsule.release(attempt.call)
+                attempt.capsule.untake(attempt.call)
             self.conclude(query)
         else:
             for attempt in plan:
--- a/stepknot/records.py
+++ b/stepknot/records.py
@@ -47,6 +47,11 @@
         if not self.calls[call]:
             del self.calls[call]
 
+    def untake(self, call: tuple[int, int]) -> None:
+        """Take back a `take`: nothing was sent."""
+        self.release(call)
+        self.credit = (self.credit or 0.0) + 1
+
     def hear(self, now: float, elapsed: float, out: float, weight: float) -> None:
         """Take a response time into the means, with this weight or as one of the few heard."""
         self.heard, self.heard_at = self.heard + 1, now
