--- a/stepknot/logic.py
+++ b/stepknot/logic.py
@@ -41,6 +41,7 @@
 # Where many aggregators share the servers, own parts say little of a load: the replicas are asked before a
 # send. A question may take so much of the aim, and a report counts for so much of the shortest base wait.
 ASK_SHARE, FRESH_SHARE = 0.03, 0.5
+IDLE = 2.0  # parts of others at a server, in the mean, under which nothing need be asked
 UNANSWERED = 4  # what a question without an answer counts as out: who answers is better, even with a queue
 REPORT_TRUST = 0.5  # of what a report says, as it may be late, noisy, frozen or a lie
 # A failure counts as out, in the choice alone, for so many shortest waits. Else a server that fails quickly
@@ -194,7 +195,7 @@
         fresh_for = FRESH_SHARE * self.shortest_wait
         holders = [each for part in query.step for each in self.holders(part.shard)]
         if query.ask_end is None:
-            idle = self.fleet.others < 1 and self.now - self.fleet.told < fresh_for
+            idle = self.fleet.others < IDLE and self.now - self.fleet.told < MEMORY
             if idle or not self.settings.limits.probing:
                 return True
             query.ask_end = min(self.now + ASK_SHARE * query.kind.aim, query.wait_end)
@@ -224,6 +225,7 @@
     def note_failure(self, capsule: Capsule, most: float) -> None:
         if capsule.failed(self.now) < most:
             capsule.failures.append(self.now + FAILURE_HOLD * self.shortest_wait)
+            self.fleet.told = -math.inf  # not all is well: ask
 
     def wait_at(self, query: Query, capsule: Capsule, share: float = 1.0) -> float:
         """How long a part may wait for this server: 0 for one at its bound and for a part to be bypassed."""
