Drop unused settings and actions from the interface; rules under questions, one and hundreds of instances, a clock jump

No decision changed. Prices, tenants, the one-off list fetch, the hold cap and client marks were parsed and acted on nowhere.

--- a/stepknot/benchlink.py
+++ b/stepknot/benchlink.py
@@ -55,7 +55,6 @@
 
 def parse_settings(profile: Fields) -> api.Settings:
     family, allowed, rules = profile["family-info"], profile["allowed"], profile["rules"]
-    deductions = profile.get("deductions", {})
     classes = {}
     for index, lane in enumerate(profile["lanes"]):
         classes[lane["name"]] = api.QueryClass(
@@ -73,15 +72,10 @@
         )
     return api.Settings(
         instances=profile["balancers"],
-        zone=profile["my-zone"],
         cells=family["cells"],
         reach=family["span"],
         parts_per_call=family["parts-a-call"],
         classes=classes,
-        tenants={
-            project["name"]: api.Tenant(project["name"], project["share"], project["quota-per-s"])
-            for project in profile.get("projects", [])
-        },
         rules=api.Rules(
             drain_grace=seconds(rules["drain-grace-ns"]),
             cold_share=rules["cold-from"],
@@ -95,17 +89,13 @@
         ),
         limits=api.Limits(
             max_attempts=allowed["max-attempts"],
-            open_cap=allowed["open-cap"],
             cancelling=allowed["cancelling"],
             probing=allowed["probing"],
             second_copies=allowed["may-duplicate"],
             retry_after=allowed["retry-after"],
             max_retry_after=seconds(allowed.get("max-retry-after-ns", 0)),
         ),
-        prices=api.Prices(deductions.get("late-fail", 0.0), deductions.get("waste", 0.0)),
         must_ask=profile["discovery"] == "ask",
-        marks_retry=profile.get("callers", {}).get("marks-retry", False),
-        over_share_worth=profile.get("over-share-worth", 1.0),
         worth_by_work=profile.get("counted-by") == "work",
         tick=seconds(profile.get("period-ns", 0)),
     )
@@ -201,8 +191,6 @@
         case api.Watch():
             name = "KEEP_INFORMED"
             fields["on"] = True
-        case api.FetchList():
-            name = "PULL"
     return {name: fields}
 
 
--- a/stepknot/interface.py
+++ b/stepknot/interface.py
@@ -73,13 +73,6 @@
         return self.floor >= 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class Tenant:
-    name: str
-    share: float
-    quota_per_s: float
-
-
 @dataclass(frozen=True, slots=True)
 class Rules:
     drain_grace: float
@@ -96,7 +89,6 @@
 @dataclass(frozen=True, slots=True)
 class Limits:
     max_attempts: int
-    open_cap: int
     cancelling: bool = False
     probing: bool = False
     second_copies: bool = False
@@ -104,29 +96,16 @@
     max_retry_after: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class Prices:
-    """What is taken off the service for each unit."""
-
-    late_failure: float = 0.0
-    waste: float = 0.0
-
-
 @dataclass(frozen=True, slots=True)
 class Settings:
     instances: int
-    zone: str
     cells: int  # shard s is held by the servers of cells (s + j) mod cells, j < reach
     reach: int
     parts_per_call: int
     classes: dict[str, QueryClass]
-    tenants: dict[str, Tenant]
     rules: Rules
     limits: Limits
-    prices: Prices = Prices()
     must_ask: bool = False  # the list's changes come only when asked for
-    marks_retry: bool = False
-    over_share_worth: float = 1.0
     worth_by_work: bool = False  # a query's worth counts in proportion to its work
     tick: float = 0.0
 
@@ -246,6 +225,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Probe:
+    """Ask a server for its load report; answered by one `ProbeEnded`."""
+
     server: str
 
 
@@ -254,9 +235,4 @@
     """Ask for the list's changes from now on."""
 
 
-@dataclass(frozen=True, slots=True)
-class FetchList:
-    """Ask for the whole list once."""
-
-
-Action = Send | Cancel | Answer | Refuse | Fail | SetTimer | Probe | Watch | FetchList
+Action = Send | Cancel | Answer | Refuse | Fail | SetTimer | Probe | Watch
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -54,7 +54,6 @@
 def limits(**changes: Any) -> Limits:
     values: dict[str, Any] = dict(
         max_attempts=3,
-        open_cap=500,
         cancelling=True,
         probing=False,
         second_copies=True,
@@ -67,12 +66,10 @@
 def make_settings(**changes: Any) -> Settings:
     values: dict[str, Any] = dict(
         instances=2,
-        zone="east",
         cells=2,
         reach=1,
         parts_per_call=1,
         classes=CLASSES,
-        tenants={},
         rules=rules(),
         limits=limits(),
         tick=TICK,
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -267,7 +267,7 @@
         ("rules", "tip-multiple"),
         ("family-info", "cells"),
         (None, "lanes"),
-        (None, "my-zone"),
+        (None, "balancers"),
     ],
 )
 def test_a_missing_setting_ends_it(section: str | None, key: str) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,8 +3,18 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from stepknot.interface import AttemptEnded, ListKind, Outcome, QueryGone, ServerState, SetTimer, TimerDue
-from tests.helpers import FLEET, SLACK, Driver, entry, make_settings, rules
+from stepknot.interface import (
+    AttemptEnded,
+    ListKind,
+    Outcome,
+    Probe,
+    ProbeEnded,
+    QueryGone,
+    ServerState,
+    SetTimer,
+    TimerDue,
+)
+from tests.helpers import FLEET, SLACK, Driver, entry, limits, make_settings, rules
 
 CLASS_NAMES = ["all", "some", "keyed", "unsafe", "steps", "need"]
 ENDINGS = list(Outcome)
@@ -23,6 +33,12 @@
     st.tuples(st.just("full"), st.sets(st.integers(0, 5))),
     st.tuples(st.just("stale"), st.integers(0, 10_000)),
     st.tuples(st.just("failed")),
+    st.tuples(
+        st.just("probe"),
+        st.integers(0, 20),
+        st.sampled_from(ENDINGS),
+        st.sampled_from([{}, {"inflight": 3.0}, {"queue": 900.0, "util": 1.0}, {"inflight": float("nan")}]),
+    ),
 )
 
 
@@ -32,11 +48,13 @@
     def __init__(self, **changes: object) -> None:
         self.driver = Driver(make_settings(**changes))
         self.timers: list[SetTimer] = []
+        self.probes: list[str] = []
         self.note()
 
     def note(self) -> None:
         driver = self.driver
         self.timers += [action for action in driver.acts if isinstance(action, SetTimer)]
+        self.probes += [action.server for action in driver.acts if isinstance(action, Probe)]
         # A first answer brings a second step's parts.
         for query, _ in list(driver.first_whole.items()):
             if query not in driver.finals and all(part in driver.over for part in driver.parts[query]):
@@ -78,6 +96,10 @@
                 driver.list([entry(old.server, old.cell, state, up)], ListKind.CHANGES)
             case ("full", set(named)):
                 driver.list([FLEET[index] for index in sorted(named)])
+            case ("probe", int(index), Outcome() as outcome, dict(load)):
+                if self.probes:
+                    server = self.probes.pop(index % len(self.probes))
+                    driver.handle(ProbeEnded(server, outcome, 0.01, load))
             case ("failed",):
                 driver.list([], ListKind.FAILED)
             case ("stale", int(number)):
@@ -127,6 +149,34 @@
     play(steps, parts_per_call=4)
 
 
+@settings(max_examples=100, deadline=None, derandomize=True, database=None)
+@given(st.lists(STEP, max_size=40))
+def test_the_rules_hold_where_replicas_are_asked(steps: list[tuple[object, ...]]) -> None:
+    play(steps, limits=limits(probing=True))
+
+
+@settings(max_examples=60, deadline=None, derandomize=True, database=None)
+@given(st.lists(STEP, max_size=40), st.sampled_from([1, 300]))
+def test_the_rules_hold_with_one_instance_and_with_hundreds(
+    steps: list[tuple[object, ...]], instances: int
+) -> None:
+    play(steps, instances=instances, limits=limits(probing=True))
+
+
+def test_a_jump_of_the_clock_and_a_backlog_of_thousands_break_no_rule() -> None:
+    driver = Driver(make_settings(limits=limits(probing=True)))
+    driver.queries(*[("some", [0, 1], None, None) for _ in range(700)])
+    for query in list(driver.kinds):
+        driver.kinds.pop(query)  # the aggregator stood still past every deadline: these are the client's
+    held = [(part, number) for part, number in driver.out()]
+    driver.aggregator.handle(driver.now, [])
+    driver.at(driver.now + 40.0)
+    events = [driver.ended(part, number, Outcome.TIMED_OUT, 40.0) for part, number in held]
+    finals = driver.aggregator.handle(driver.now, [*events, *(TimerDue(token) for token in range(1, 3000))])
+    assert len({act.query_id for act in finals if hasattr(act, "query_id")}) == 700
+    assert not driver.aggregator.queries and not driver.aggregator.attempts
+
+
 def test_a_draining_or_dropped_server_gets_nothing_new() -> None:
     driver = Driver()
     driver.list([entry("s0a", state=ServerState.DRAINING)], ListKind.CHANGES)
