--- a/stepknot/__init__.py
+++ b/stepknot/__init__.py
@@ -1,5 +1,6 @@
-"""stepknot: the decisions of a client library that reads many shards for one query."""
+"""stepknot: an aggregator that reads many shards for one query. Its top level is the decision library."""
 
 from stepknot.logic import Aggregator
 
-__all__ = ["Aggregator"]
+__all__ = ["Aggregator", "__version__"]
+__version__ = "0.2.0"
--- /dev/null
+++ b/stepknot/broker/core.py
@@ -0,0 +1,339 @@
+"""Turns queries into the decision module's events, and carries out its actions.
+
+All events of one loop turn go to the module in one call; what it sends to one box in that turn travels as one
+call. Nothing here chooses a box, waits, repeats or refuses: the module does. What is kept: the queries held, their
+parts and the attempts out; each ends in exactly one place (`finish`, `end_attempt`).
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from functools import partial
+from typing import Any
+
+from stepknot import interface as api
+from stepknot.boxes.codec import Codec, PartReply, PartRequest
+from stepknot.boxes.pool import Exchange, Pool
+from stepknot.logic import Aggregator
+from stepknot.net.http import ClientParser, HttpError
+from stepknot.net.loop import Loop, Signal, Timer
+
+Accept = Callable[[Any], Any]  # what a part's payload is read by; raises ValueError where it is not an answer
+
+
+class Status(Enum):
+    ANSWERED = "answered"
+    REFUSED = "refused"  # trying again is harmless
+    FAILED = "failed"  # it may have run: no promise
+
+
+@dataclass(slots=True, eq=False)
+class Piece:
+    """A part of a query: what it asks, how its answer is read, and what became of it."""
+
+    shard: int  # among the fleet's
+    weight: float
+    request: PartRequest
+    accept: Accept
+    part_id: int = 0
+    answer: Any = None
+    served: bool = False
+    server: str = ""
+    attempts: int = 0
+    reason: str = "not asked"
+
+
+@dataclass(slots=True, eq=False)
+class Ask:
+    """A query handed to the core. `second` makes the second step's parts from the first one's."""
+
+    class_name: str
+    deadline: float  # by the loop's clock
+    first: list[Piece]
+    second: Callable[[list[Piece]], list[Piece]] | None = None
+    tenant: str = ""
+    key: str = ""
+    name: str = ""  # in logs and at boxes
+    query_id: int = 0
+    step: int = 1
+    fetch: list[Piece] = field(default_factory=list)
+    first_whole: bool = False
+    arrived: float = 0.0
+    done: Signal = field(default_factory=Signal)
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    status: Status
+    whole: bool = False
+    retry_after: float = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    piece: Piece
+    ask: Ask
+    number: int
+    server: str
+    sent: float
+    call: Call | None = None
+    timer: Timer | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """What travels together to one box; `live` are the attempts that still wait for its reply."""
+
+    server: str
+    attempts: list[Attempt]
+    live: int
+    exchange: Exchange | None = None
+
+
+class Core:
+    def __init__(
+        self, loop: Loop, settings: api.Settings, seed: int, pool: Pool, codec: Codec,
+        on_event: Callable[..., None], most_held: int = 4096, name: str = "",
+    ) -> None:
+        self.loop, self.settings, self.pool, self.codec = loop, settings, pool, codec
+        self.on_event, self.most_held, self.name = on_event, most_held, name
+        self.module = Aggregator(settings, seed)
+        self.inbox: list[api.Event] = []
+        self.held: dict[int, Ask] = {}
+        self.pieces: dict[int, tuple[Ask, Piece]] = {}
+        self.out: dict[tuple[int, int], Attempt] = {}
+        self.servers: dict[str, api.ServerEntry] = {}
+        self.last_id = 0
+        self.counts: Counter[str] = Counter()
+        self.class_counts: Counter[tuple[str, str]] = Counter()
+        self.times: dict[str, deque[float]] = {}
+        self.decide_time = 0.0
+        loop.turn_hooks.append(self.turn)
+
+    def post(self, event: api.Event) -> None:
+        self.inbox.append(event)
+        self.loop.again = True
+
+    # --- queries in
+
+    def ask(self, ask: Ask) -> None:
+        """Take a query; `ask.done` is set with its `Result` at the latest when the client's time is nearly up."""
+        self.last_id += 1
+        ask.query_id, ask.arrived = self.last_id, self.loop.now
+        if len(self.held) >= self.most_held:  # the stated bound of what is held: memory comes before all else
+            self.counts["over_bound"] += 1
+            ask.done.set(Result(Status.REFUSED, retry_after=self.settings.limits.max_retry_after))
+            return
+        self.held[ask.query_id] = ask
+        self.counts["queries"] += 1
+        self.class_counts[ask.class_name, "taken"] += 1
+        self.post(api.QueryArrived(ask.query_id, ask.query_id, ask.class_name, ask.deadline, ask.tenant, ask.key))
+        self.add_pieces(ask, ask.first)
+
+    def add_pieces(self, ask: Ask, pieces: list[Piece]) -> None:
+        for piece in pieces:
+            self.last_id += 1
+            piece.part_id = self.last_id
+            self.pieces[piece.part_id] = (ask, piece)
+            self.post(api.PartArrived(piece.part_id, ask.query_id, piece.shard, piece.weight))
+        self.counts["parts"] += len(pieces)
+
+    def gone(self, ask: Ask) -> None:
+        """The client hung up: nothing is answered, what is out is called off."""
+        if self.held.get(ask.query_id) is ask:
+            self.post(api.QueryGone(ask.query_id))
+            self.counts["gone"] += 1
+            self.finish(ask, None)
+
+    def take_list(self, event: api.ListReceived) -> None:
+        if event.kind is api.ListKind.FULL:
+            self.servers = {}
+        for entry in event.entries:
+            if entry.state is api.ServerState.GONE:
+                self.servers.pop(entry.server, None)
+                self.pool.close_idle(entry.server)
+            else:
+                self.servers[entry.server] = entry
+            self.on_event("box_listed", box=entry.server, state=entry.state.value, zone=entry.zone, cell=entry.cell)
+        self.post(event)
+
+    def give_up_all(self) -> None:
+        """Shutting down: every query held gets its final answer now."""
+        for ask in list(self.held.values()):
+            self.post(api.QueryGone(ask.query_id))
+            ran = any(piece.attempts for piece in ask.first)
+            safe = self.settings.classes[ask.class_name].effect is api.Effect.SAFE
+            self.finish(ask, Result(Status.REFUSED if safe or not ran else Status.FAILED))
+
+    # --- one turn
+
+    def turn(self) -> None:
+        if not self.inbox:
+            return
+        events, self.inbox = self.inbox, []
+        begun = self.loop.clock()
+        actions = self.module.handle(self.loop.now, events)
+        self.decide_time += self.loop.clock() - begun
+        sends: dict[str, list[Attempt]] = {}
+        for action in actions:
+            match action:
+                case api.Send():
+                    self.prepare(action, sends)
+                case api.SetTimer():
+                    self.loop.call_at(action.at, partial(self.post, api.TimerDue(action.token)))
+                case api.Answer():
+                    self.answer(action)
+                case api.Cancel():
+                    attempt = self.out.get((action.part_id, action.attempt))
+                    if attempt is not None:
+                        self.end_attempt(attempt, api.Outcome.CANCELLED, {})
+                case api.Refuse():
+                    self.close_query(action.query_id, Result(Status.REFUSED, False, action.retry_after))
+                case api.Fail():
+                    self.close_query(action.query_id, Result(Status.FAILED))
+                case api.Probe():
+                    self.probe(action.server)
+                case api.Close():
+                    self.pool.close_idle(action.server)
+                case api.Watch():
+                    pass  # file and DNS sources push of themselves
+        for server, attempts in sends.items():
+            self.dispatch(server, attempts)
+
+    def prepare(self, action: api.Send, sends: dict[str, list[Attempt]]) -> None:
+        if action.part_id not in self.pieces:  # its client went in this very turn
+            self.post(api.AttemptEnded(action.part_id, 0, action.server, api.Outcome.NOT_SENT, 0.0))
+            return
+        ask, piece = self.pieces[action.part_id]
+        attempt = Attempt(piece, ask, piece.attempts, action.server, self.loop.now)
+        piece.attempts += 1
+        piece.reason = "no answer in time"
+        self.counts["attempts"] += 1
+        if attempt.number:
+            self.counts["extra_attempts"] += 1
+        self.out[piece.part_id, attempt.number] = attempt
+        if action.timeout < math.inf:
+            attempt.timer = self.loop.call_later(
+                action.timeout, partial(self.end_attempt, attempt, api.Outcome.TIMED_OUT, {}))
+        sends.setdefault(action.server, []).append(attempt)
+
+    def dispatch(self, server: str, attempts: list[Attempt]) -> None:
+        attempts = [each for each in attempts if self.out.get((each.piece.part_id, each.number)) is each]
+        shared = [each for each in attempts if self.codec.shares_call(each.piece.request)]
+        alone = [each for each in attempts if not self.codec.shares_call(each.piece.request)]
+        size = self.settings.parts_per_call
+        groups = [shared[place:place + size] for place in range(0, len(shared), size)]
+        for group in [*groups, *([each] for each in alone)]:
+            call = Call(server, group, len(group))
+            for attempt in group:
+                attempt.call = call
+            name = group[0].ask.name
+            data = self.codec.encode([each.piece.request for each in group], self.pool.box(server).name, name)
+            call.exchange = Exchange(data, partial(self.on_reply, call))
+            self.counts["calls"] += 1
+            self.on_event("call_sent", box=server, query=name, parts=len(group))
+            self.pool.start(server, call.exchange)
+
+    def on_reply(self, call: Call, parser: ClientParser | None, outcome: api.Outcome, reason: str) -> None:
+        """A call ended: each attempt that still waits for it ends with its own outcome."""
+        load: dict[str, float] = {}
+        replies = [PartReply(outcome, reason=reason)] * len(call.attempts)
+        if parser is not None:
+            load = self.codec.load(parser.headers)
+            try:
+                body = parser.body()
+            except HttpError as error:
+                replies = [PartReply(api.Outcome.ERROR, reason=error.reason)] * len(call.attempts)
+            else:
+                requests = [each.piece.request for each in call.attempts]
+                replies = self.codec.decode(requests, parser.status, parser.headers, body)
+        for attempt, reply in zip(call.attempts, replies, strict=True):
+            if self.out.get((attempt.piece.part_id, attempt.number)) is attempt:
+                self.take_reply(attempt, reply, load)
+
+    def take_reply(self, attempt: Attempt, reply: PartReply, load: dict[str, float]) -> None:
+        piece, outcome = attempt.piece, reply.outcome
+        if outcome is api.Outcome.SERVED and not piece.served:
+            try:
+                piece.answer = piece.accept(reply.payload)
+                piece.served, piece.server, piece.reason = True, attempt.server, ""
+            except ValueError as error:
+                outcome, piece.reason = api.Outcome.ERROR, f"malformed reply: {error}"
+        elif outcome is not api.Outcome.SERVED:
+            piece.reason = reply.reason or outcome.value
+        self.end_attempt(attempt, outcome, load)
+
+    def end_attempt(self, attempt: Attempt, outcome: api.Outcome, load: dict[str, float]) -> None:
+        piece = attempt.piece
+        if self.out.pop((piece.part_id, attempt.number), None) is None:
+            return
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        self.counts[f"ended_{outcome.name.lower()}"] += 1
+        call = attempt.call
+        if call is not None:
+            call.live -= 1
+            if not call.live and call.exchange is not None and not call.exchange.ended:
+                call.exchange.abandon()  # nobody waits: the box sees it, and may drop the work
+        self.post(api.AttemptEnded(piece.part_id, attempt.number, attempt.server, outcome,
+                                   self.loop.now - attempt.sent, load=load))
+
+    def probe(self, server: str) -> None:
+        begun = self.loop.now
+        self.counts["probes"] += 1
+
+        def end(parser: ClientParser | None, outcome: api.Outcome, reason: str) -> None:
+            timer.cancel()
+            load = self.codec.load(parser.headers) if parser is not None else {}
+            self.post(api.ProbeEnded(server, outcome, self.loop.now - begun, load))
+
+        def expire() -> None:
+            if not exchange.ended:
+                exchange.abandon()
+                end(None, api.Outcome.TIMED_OUT, "")
+
+        exchange = Exchange(self.codec.encode_probe(self.pool.box(server).name), end)
+        timer = self.loop.call_later(self.pool.connect_timeout, expire)
+        self.pool.start(server, exchange)
+
+    # --- answers
+
+    def answer(self, action: api.Answer) -> None:
+        ask = self.held.get(action.query_id)
+        if ask is None:
+            return
+        two = self.settings.classes[ask.class_name].second_step_parts > 0
+        if ask.step == 1 and two:
+            ask.step, ask.first_whole = 2, action.whole
+            ask.fetch = ask.second(ask.first) if ask.second else []
+            if ask.fetch:
+                self.add_pieces(ask, ask.fetch)
+                return
+            self.post(api.QueryGone(ask.query_id))  # nothing is to be fetched: the answer is complete
+        self.finish(ask, Result(Status.ANSWERED, action.whole))
+
+    def close_query(self, query_id: int, result: Result) -> None:
+        ask = self.held.get(query_id)
+        if ask is not None:
+            self.finish(ask, result)
+
+    def finish(self, ask: Ask, result: Result | None) -> None:
+        """The one end of a query; None where the client is gone."""
+        del self.held[ask.query_id]
+        for piece in (*ask.first, *ask.fetch):
+            self.pieces.pop(piece.part_id, None)
+        ending = result.status.value if result is not None else "gone"
+        self.counts[ending] += 1
+        self.class_counts[ask.class_name, ending] += 1
+        if result is not None and result.status is Status.ANSWERED and not result.whole:
+            self.counts["partial"] += 1
+        took = self.loop.now - ask.arrived
+        self.times.setdefault(ask.class_name, deque(maxlen=1000)).append(took)
+        served = sum(piece.served for piece in ask.first)
+        self.on_event("query_ended", query=ask.name, query_class=ask.class_name, ending=ending, took=round(took, 6),
+                      parts=len(ask.first), served=served, whole=bool(result and result.whole))
+        ask.done.set(result)
--- /dev/null
+++ b/stepknot/broker/queries.py
@@ -0,0 +1,236 @@
+"""Queries of the core, made from what a client asks, whichever front it came by.
+
+Here an index's shards become parts with their weights, hits become a second step, and a query gets the class and
+the time that settings and client give it. No front builds parts of its own.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Generator
+from dataclasses import dataclass
+from typing import Any
+
+from stepknot.boxes.codec import SearchPart, WritePart
+from stepknot.broker.core import Ask, Core, Piece, Result, Status
+from stepknot.config.settings import Config, Index
+from stepknot.net.loop import Park
+from stepknot.search.aggs import MergeError
+from stepknot.search.errors import RequestError
+from stepknot.search.merge import Merged, ShardHits, Target, merge, read_shard
+from stepknot.search.request import Search, fetch_body, shard_body
+from stepknot.search.routing import shard_of
+
+Steps = Generator[Park, Any, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Client:
+    """Who asks, and how long it waits: `seconds` from now, none for the class's own."""
+
+    seconds: float | None = None
+    tenant: str = ""
+    name: str = ""
+    class_name: str = ""
+
+
+@dataclass(slots=True)
+class Outcome:
+    """A query's end for a front: the result, its parts beside their shards, the page where it was answered."""
+
+    result: Result | None
+    pieces: list[Piece]
+    targets: list[Target]
+    took: float
+    merged: Merged | None = None
+    documents: dict[tuple[Target, str], dict[str, Any]] | None = None
+    lost: int = 0  # hits of the page that the second step did not bring
+    in_time: bool = True
+
+
+class Queries:
+    def __init__(self, config: Config, core: Core) -> None:
+        self.config, self.core = config, core
+        self.boot = f"{core.loop.rng.getrandbits(48):012x}"  # tokens of this process differ from an earlier one's
+        self.tokens = 0
+
+    # --- indices and shards
+
+    def index(self, name: str) -> Index:
+        index = self.config.indices.get(name)
+        if index is None:
+            raise RequestError(f"no such index [{name}]", "index_not_found_exception", 404)
+        return index
+
+    def indices(self, names: str) -> list[Index]:
+        """Comma-separated, with `*`; "" and `_all` are all."""
+        if names in ("", "_all", "*"):
+            return list(self.config.indices.values())
+        found: dict[str, Index] = {}
+        for name in names.split(","):
+            if "*" in name:
+                head, _, tail = name.partition("*")
+                found |= {each: index for each, index in self.config.indices.items()
+                          if each.startswith(head) and each.endswith(tail)}
+            else:
+                found[name] = self.index(name)
+        return list(found.values())
+
+    def shard(self, index: Index, routing: str) -> Target:
+        shard = shard_of(routing, index.shards, index.routing_shards)
+        return Target(index.name, shard, index.first + shard)
+
+    def targets(self, indices: list[Index], routing: str = "", only: frozenset[int] | None = None) -> list[Target]:
+        """All shards, or those that the routing values (comma-separated) lead to."""
+        if routing:
+            return list(dict.fromkeys(self.shard(index, each) for index in indices for each in routing.split(",")))
+        return [Target(index.name, shard, index.first + shard) for index in indices for shard in range(index.shards)
+                if only is None or shard in only]
+
+    # --- asking
+
+    def class_of(self, operation: str, client: Client) -> str:
+        if not client.class_name:
+            return self.config.operations[operation]
+        kind = self.core.settings.classes.get(client.class_name)
+        if kind is None:
+            raise RequestError(f"unknown query class [{client.class_name}]")
+        if kind.effect is not self.core.settings.classes[self.config.operations[operation]].effect:
+            raise RequestError(f"class [{client.class_name}] does not fit [{operation}]: its effect differs")
+        return client.class_name
+
+    def time_left(self, class_name: str, client: Client) -> float:
+        deadline = self.core.settings.classes[class_name].deadline
+        return min(deadline, client.seconds) if client.seconds else deadline
+
+    def run(self, ask: Ask, hang_up: Any) -> Steps:
+        """Hand it in and wait for its end; `hang_up` is told whom to call when the client goes."""
+        self.core.ask(ask)
+        hang_up(lambda: self.core.gone(ask))
+        return (yield from ask.done.wait())
+
+    def search(self, search: Search, targets: list[Target], operation: str, client: Client, key: str,
+               hang_up: Any) -> Steps:
+        """One search over its shards, in one step or two as its class says; ends in an `Outcome`."""
+        class_name = self.class_of(operation, client)
+        kind = self.core.settings.classes[class_name]
+        seconds, begun = self.time_left(class_name, client), self.core.loop.now
+        two = kind.second_step_parts > 0
+        body = shard_body(search, seconds, fetch=not two)
+        by_shard = {target.place: target for target in targets}
+
+        def piece(target: Target) -> Piece:
+            return Piece(target.place, 1 / len(targets), SearchPart(target.index, target.shard, body, key),
+                         lambda payload: read_shard(target, payload, search))
+
+        def page(pieces: list[Piece]) -> Merged:
+            found: list[ShardHits] = [each.answer for each in pieces if each.served]
+            return merge(search, found, len(found) < len(pieces), self.config.buckets)
+
+        merged: list[Merged | RequestError] = []
+
+        def second(pieces: list[Piece]) -> list[Piece]:
+            try:
+                merged.append(page(pieces))
+            except (MergeError, RequestError) as error:
+                merged.append(error if isinstance(error, RequestError) else RequestError(
+                    f"shards' answers do not fit together: {error}", "search_phase_execution_exception", 503))
+                return []
+            return self.fetch_pieces(search, merged[0].rows) if isinstance(merged[0], Merged) else []
+
+        ask = Ask(class_name, begun + seconds, [piece(each) for each in targets], second if two else None,
+                  client.tenant, key, client.name)
+        if not targets:
+            return Outcome(Result(Status.ANSWERED, True), [], [], 0.0, page([]))
+        result = yield from self.run(ask, hang_up)
+        outcome = Outcome(result, ask.first, [by_shard[each.shard] for each in ask.first],
+                          self.core.loop.now - begun, in_time=self.core.loop.now < begun + seconds)
+        if result is None or result.status is not Status.ANSWERED:
+            return outcome
+        if not two:
+            outcome.merged = page(ask.first)
+            return outcome
+        if not merged:
+            second(ask.first)
+        if isinstance(merged[0], RequestError):
+            raise merged[0]
+        outcome.merged = merged[0]
+        outcome.documents = {(by_shard[each.shard], row["_id"]): row
+                             for each in ask.fetch if each.served for row in each.answer}
+        outcome.lost = len(merged[0].rows) - len(outcome.documents)
+        return outcome
+
+    def fetch_pieces(self, search: Search, rows: list[tuple[Target, dict[str, Any]]]) -> list[Piece]:
+        """The second step: each shard that owns hits of the page is asked for them, by its share of the page."""
+        if search.source is False:
+            return []
+        owned: dict[Target, list[str]] = defaultdict(list)
+        for target, row in rows:
+            owned[target].append(row["_id"])
+        return [Piece(target.place, len(ids) / len(rows),
+                      SearchPart(target.index, target.shard, fetch_body(search, ids)), documents_of(ids))
+                for target, ids in owned.items()]
+
+    def documents(self, wanted: list[tuple[Target, str]], source: Any, operation: str, client: Client,
+                  hang_up: Any) -> Steps:
+        """Documents by id, one part a shard however many there are; ends in (Ask, found by target and id)."""
+        class_name = self.class_of(operation, client)
+        by_target: dict[Target, list[str]] = defaultdict(list)
+        for target, name in wanted:
+            if name not in by_target[target]:
+                by_target[target].append(name)
+        pieces = []
+        for target, ids in by_target.items():
+            body = {"query": {"ids": {"values": ids}}, "size": len(ids), "_source": source, "version": True,
+                    "seq_no_primary_term": True, "track_total_hits": False}
+            pieces.append(Piece(target.place, len(ids) / sum(map(len, by_target.values())),
+                                SearchPart(target.index, target.shard, body, ids[0]), documents_of(ids)))
+        seconds = self.time_left(class_name, client)
+        # Documents come in one step: a class with two is told by an empty second one.
+        ask = Ask(class_name, self.core.loop.now + seconds, pieces, None, client.tenant,
+                  wanted[0][1] if wanted else "", client.name)
+        result = yield from self.run(ask, hang_up)
+        targets = list(by_target)
+        found = {(target, row["_id"]): row for piece, target in zip(pieces, targets, strict=True) if piece.served
+                 for row in piece.answer}
+        return Outcome(result, pieces, targets, self.core.loop.now - ask.arrived, documents=found,
+                       in_time=self.core.loop.now < ask.deadline)
+
+    def write(self, writes: list[tuple[Target, bytes]], operation: str, client: Client, refresh: bool,
+              hang_up: Any) -> Steps:
+        """Bulk lines by shard; ends in an Outcome whose pieces' answers are the boxes' items, and whose piece a
+        write went to and its place there (`places`)."""
+        class_name = self.class_of(operation, client)
+        by_target: dict[Target, list[bytes]] = defaultdict(list)
+        places = []
+        for target, lines in writes:
+            places.append((target, len(by_target[target])))
+            by_target[target].append(lines)
+        pieces = []
+        for target, each in by_target.items():
+            self.tokens += 1
+            request = WritePart(target.index, target.shard, b"".join(each), len(each),
+                                f"{self.boot}-{self.tokens}", refresh)
+            pieces.append(Piece(target.place, len(each) / len(writes), request, lambda payload: payload["items"]))
+        seconds = self.time_left(class_name, client)
+        ask = Ask(class_name, self.core.loop.now + seconds, pieces, None, client.tenant, "", client.name)
+        result = yield from self.run(ask, hang_up)
+        outcome = Outcome(result, pieces, list(by_target), self.core.loop.now - ask.arrived,
+                          in_time=self.core.loop.now < ask.deadline)
+        return outcome, places
+
+
+def documents_of(ids: list[str]) -> Any:
+    wanted = frozenset(ids)
+
+    def accept(payload: Any) -> list[dict[str, Any]]:
+        try:
+            rows = payload["hits"]["hits"]
+            names = [row["_id"] for row in rows]
+        except (KeyError, TypeError) as error:
+            raise ValueError(str(error)) from None
+        if len(set(names)) != len(names) or not wanted.issuperset(names):
+            raise ValueError("other documents than were asked for")
+        return list(rows)
+
+    return accept
--- /dev/null
+++ b/stepknot/broker/service.py
@@ -0,0 +1,127 @@
+"""The broker as a process: settings to loop, core, boxes' side and front; orderly end."""
+
+from __future__ import annotations
+
+import random
+import signal
+import time
+from collections.abc import Callable
+from typing import Any
+
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, HistogramMetricFamily
+from prometheus_client.metrics_core import Metric
+
+from stepknot.boxes.codec import RestCodec
+from stepknot.boxes.pool import Pool
+from stepknot.broker.core import Core
+from stepknot.broker.queries import Queries
+from stepknot.config.settings import Config
+from stepknot.discovery.boxlist import FileSource
+from stepknot.net.loop import LAG_BUCKETS, Coroutine, Loop
+from stepknot.net.server import Handler, Server
+
+GRACE = 10.0  # seconds for which held queries may end by themselves once the broker is told to stop
+LAST_WORD = 2.0  # seconds for final answers to leave after that
+
+Log = Callable[..., None]
+
+
+class Service:
+    """One broker on a loop of its own. `make_front` gives the handler and the error body of its front."""
+
+    def __init__(self, config: Config, log: Log, make_front: Callable[[Service], Any],
+                 clock: Callable[[], float] = time.monotonic, seed: int | None = None) -> None:
+        self.config, self.log = config, log
+        chance = random.Random(config.seed if seed is None else seed) if config.seed or seed else random.Random()
+        self.loop = Loop(clock, chance, on_error=self.on_task_error)
+        limits = config.settings.limits
+        self.name = f"{config.name}@{config.listen[0]}:{config.listen[1]}"
+        self.pool = Pool(self.loop, config.connections, config.connect_timeout, limits.idle_connection, config.reply)
+        self.core = Core(self.loop, config.settings, chance.getrandbits(62), self.pool,
+                         RestCodec(f"stepknot/{config.listen[1]}"), log, config.held, self.name)
+        self.queries = Queries(config, self.core)
+        self.front = make_front(self)
+        handler: Handler = self.front.handle
+        self.server = Server(self.loop, *config.listen, handler, config.http, self.front.http_error)
+        self.source = FileSource(self.loop, config.list_file, config.list_every, self.core.take_list,
+                                 lambda trouble: log("box_list_not_taken", trouble=trouble))
+        self.registry = CollectorRegistry()
+        self.registry.register(self)
+        self.stopping = False
+
+    def on_task_error(self, name: str, error: BaseException) -> None:
+        """A task that failed unexpectedly is told loudly; the broker goes on for all others."""
+        self.core.counts["internal_errors"] += 1
+        self.log("internal_error", task=name, error=f"{type(error).__name__}: {error}", exc_info=error)
+
+    # --- life
+
+    def run(self) -> int:
+        self.loop.on_signal(self.stop, signal.SIGTERM, signal.SIGINT)
+        self.log("serving", address=f"{self.config.listen[0]}:{self.server.port}")
+        self.loop.run()
+        self.log("stopped")
+        return 0
+
+    def stop(self) -> None:
+        """Stop accepting; what is held ends by itself or gets a final answer; then the loop ends."""
+        if not self.stopping:
+            self.stopping = True
+            self.loop.spawn(self.ending(), "ending")
+
+    def ending(self) -> Coroutine:
+        self.log("stopping", held=len(self.core.held))
+        self.server.close()
+        until = self.loop.now + GRACE
+        while self.core.held and self.loop.now < until:
+            yield from self.loop.sleep(0.02)
+        self.core.give_up_all()
+        until = self.loop.now + LAST_WORD
+        while self.server.connections and self.loop.now < until:
+            yield from self.loop.sleep(0.02)
+        self.pool.close()
+        self.loop.stop()
+
+    # --- metrics
+
+    def metrics(self) -> bytes:
+        return generate_latest(self.registry)
+
+    def collect(self) -> list[Metric]:
+        core, loop, pool = self.core, self.loop, self.pool
+        found: list[Metric] = []
+        queries = CounterMetricFamily("stepknot_queries", "Queries by class and ending", labels=["class", "ending"])
+        for (name, ending), count in core.class_counts.items():
+            queries.add_metric([name, ending], count)
+        attempts = CounterMetricFamily("stepknot_attempts", "Attempts by outcome", labels=["outcome"])
+        for key, count in core.counts.items():
+            if key.startswith("ended_"):
+                attempts.add_metric([key.removeprefix("ended_")], count)
+        found += [queries, attempts]
+        for name, value, text in (
+            ("parts", core.counts["parts"], "Parts taken"), ("calls", core.counts["calls"], "Calls sent to boxes"),
+            ("probes", core.counts["probes"], "Questions sent to boxes"),
+            ("extra_attempts", core.counts["extra_attempts"], "Attempts beyond each part's first"),
+            ("connections_opened", pool.opened, "Connections opened to boxes"),
+            ("connections_reused", pool.reused, "Calls on a kept connection"),
+            ("replies_spoilt", pool.spoilt, "Replies malformed or too long"),
+            ("internal_errors", core.counts["internal_errors"], "Tasks that failed unexpectedly"),
+            ("decide_seconds", core.decide_time, "Time spent in the decision module"),
+            ("busy_seconds", loop.busy, "Time spent in turns of the loop"),
+        ):
+            found.append(CounterMetricFamily(f"stepknot_{name}", text, value))
+        for name, value, text in (
+            ("held_queries", len(core.held), "Queries held"), ("attempts_out", len(core.out), "Attempts out"),
+            ("client_connections", len(self.server.connections), "Clients connected"),
+            ("boxes_listed", len(core.servers), "Boxes on the list"),
+            ("loop_lag_most_seconds", loop.lag_most, "The longest turn so far"),
+        ):
+            found.append(GaugeMetricFamily(f"stepknot_{name}", text, value))
+        total, buckets = 0, []
+        for bound, count in zip((*LAG_BUCKETS, "+Inf"), loop.lag_counts, strict=True):
+            total += count
+            buckets.append((str(bound), total))
+        lag = HistogramMetricFamily("stepknot_loop_turn_seconds", "How long a turn kept everything else waiting")
+        lag.add_metric([], buckets, loop.lag_sum)
+        return [*found, lag]
--- /dev/null
+++ b/stepknot/cli/main.py
@@ -0,0 +1,162 @@
+"""`stepknot`: the commands and their options.
+
+Exit codes: 0 all well; 1 what was checked or audited is not well; 2 the call or the settings are wrong.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import click
+
+from stepknot import __version__
+from stepknot.cli.logs import make_log
+from stepknot.config.hcl import ConfigError
+from stepknot.config.settings import Bad, Config, address, load
+
+LEVELS = click.Choice(["debug", "info", "error"])
+CONFIG = click.Path(exists=True, dir_okay=False, path_type=Path)
+
+
+def read_config(path: Path) -> Config:
+    """Ends the command with exit code 2 and all problems where the settings are wrong."""
+    try:
+        return load(path)
+    except ConfigError as error:
+        for problem in error.problems:
+            click.echo(f"error: {problem}", err=True)
+        raise SystemExit(2) from None
+
+
+class Address(click.ParamType[tuple[str, int]]):
+    name = "address"
+
+    def convert(self, value: Any, param: Any, ctx: Any) -> tuple[str, int]:
+        try:
+            return address(value) if isinstance(value, str) else value
+        except Bad as error:
+            self.fail(str(error), param, ctx)
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(__version__)
+def cli() -> None:
+    """An aggregator: spreads search queries over shards and merges the answers.
+
+    \b
+    Try it:        stepknot demo
+    Run it:        stepknot check broker.hcl && stepknot serve broker.hcl
+    See it fail:   stepknot day --seconds 30 && stepknot audit day-out
+    """
+
+
+@cli.command()
+@click.argument("config", type=CONFIG)
+@click.option("--listen", type=Address(), help="Address and port instead of the settings' own.")
+@click.option("--log-level", type=LEVELS, default="info", show_default=True)
+def serve(config: Path, listen: tuple[str, int] | None, log_level: str) -> None:
+    """Run a broker by the settings in CONFIG until SIGTERM or SIGINT.
+
+    It stops accepting then, ends what it holds and exits with 0.
+
+    \b
+    Example: stepknot serve deploy/broker.hcl
+    """
+    from dataclasses import replace
+
+    from stepknot.cli.serve import run
+
+    settings = read_config(config)
+    if listen:
+        settings = replace(settings, listen=listen)
+    sys.exit(run(settings, make_log(log_level, broker=f"{settings.listen[0]}:{settings.listen[1]}")))
+
+
+@cli.command()
+@click.argument("config", type=CONFIG)
+@click.option("--json", "as_json", is_flag=True, help="Print problems or a summary as JSON.")
+def check(config: Path, as_json: bool) -> None:
+    """Check the settings in CONFIG; tell each problem with file, line and key. Exit code 2 where there is one."""
+    import orjson
+
+    try:
+        settings = load(config)
+    except ConfigError as error:
+        if as_json:
+            rows = [{"file": each.file, "line": each.line, "key": each.key, "expected": each.expected}
+                    for each in error.problems]
+            click.echo(orjson.dumps({"ok": False, "problems": rows}))
+        else:
+            for problem in error.problems:
+                click.echo(f"error: {problem}", err=True)
+        raise SystemExit(2) from None
+    shards = sum(index.shards for index in settings.indices.values())
+    summary = {"ok": True, "classes": sorted(settings.settings.classes), "indices": sorted(settings.indices),
+               "shards": shards, "cells": settings.settings.cells, "brokers": settings.settings.instances,
+               "box_list": str(settings.list_file), "box_list_found": settings.list_file.exists()}
+    if as_json:
+        click.echo(orjson.dumps(summary))
+    else:
+        click.echo(f"ok: {len(summary['classes'])} classes, {len(summary['indices'])} indices with {shards} shards "  # type: ignore[arg-type]
+                   f"in {settings.settings.cells} cells, {settings.settings.instances} brokers")
+
+
+@cli.command()
+@click.argument("config", type=CONFIG)
+@click.option("--listen", type=Address(), required=True, help="Where brokers reach it.")
+@click.option("--control", type=int, required=True, help="Port of its control socket: faults are commanded there.")
+@click.option("--cell", type=int, required=True, help="Which shards it holds: those of this cell.")
+@click.option("--zone", default="", help="Where it stands.")
+@click.option("--documents", type=int, default=100_000, show_default=True, help="Documents of the whole corpus.")
+@click.option("--work-ms", type=float, default=4.0, show_default=True, help="Modelled work of a part.")
+@click.option("--cores", type=int, default=2, show_default=True)
+@click.option("--cold", is_flag=True, help="Start cold: slow at first, and it falls over if sent too much.")
+@click.option("--seed", type=int, default=0)
+@click.option("--tap", type=click.Path(path_type=Path), help="Write what its sockets see to this file.")
+def box(config: Path, listen: tuple[str, int], control: int, cell: int, zone: str, documents: int, work_ms: float,
+        cores: int, cold: bool, seed: int, tap: Path | None) -> None:
+    """Run a stand-in box: a small search engine that holds the shards of its cell, and fails on command.
+
+    \b
+    Faults: POST {"kind": "hang", "seconds": 5} to the control socket; kinds: crash, hang, fail_fast (share),
+    slow (factor), pause, reset, cut, garbage, refuse, lost, huge, clear; "agent" limits one to a broker's port.
+    """
+    from stepknot.lab.box import BoxPlan, run_box
+
+    plan = BoxPlan(listen[0], listen[1], control, cell, zone, documents, work_ms / 1000, cores, cold=cold, seed=seed,
+                   tap=tap)
+    sys.exit(run_box(read_config(config), plan, lambda each: print(
+        f'{{"box": "{each.address}", "documents": {sum(map(len, each.shards.values()))}}}', flush=True)))
+
+
+@cli.command()
+@click.option("--port", type=int, default=9200, show_default=True, help="First broker's port; 0 takes free ones.")
+@click.option("--seconds", type=float, help="End after this long; default: at a signal.")
+@click.option("--documents", type=int, default=100_000, show_default=True)
+@click.option("--brokers", type=int, default=2, show_default=True)
+@click.option("--boxes", type=int, default=12, show_default=True)
+def demo(port: int, seconds: float | None, documents: int, brokers: int, boxes: int) -> None:
+    """Start two brokers and twelve stand-in boxes in two zones with a made-up corpus, and serve.
+
+    Prints one JSON line {"brokers": [urls]} on standard output when all are ready.
+
+    \b
+    Example: stepknot demo &
+             curl 'localhost:9200/reports/_search?size=3' -H 'content-type: application/json' \\
+                  -d '{"query": {"match": {"title": "gambit"}}}'
+    """
+    from stepknot.lab.fleet import run_demo
+
+    sys.exit(run_demo(port, seconds, documents, brokers, boxes, progress(), click.echo))
+
+
+def progress() -> Callable[[str], None]:
+    """Words about long work, on standard error."""
+    return lambda text: click.echo(text, err=True)
+
+
+if __name__ == "__main__":
+    cli()
--- /dev/null
+++ b/stepknot/config/hcl.py
@@ -0,0 +1,136 @@
+"""HCL text to blocks that know their lines. The grammar is python-hcl2's; only literals are understood here."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import hcl2
+from lark import Token, Tree
+from lark.exceptions import UnexpectedInput
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """One thing wrong in a settings file."""
+
+    file: str
+    line: int
+    key: str
+    expected: str
+
+    def __str__(self) -> str:
+        where = f"{self.file}:{self.line}" if self.line else self.file
+        return f"{where}: {self.key}: {self.expected}" if self.key else f"{where}: {self.expected}"
+
+
+class ConfigError(Exception):
+    """All problems of a settings file."""
+
+    def __init__(self, problems: list[Problem]) -> None:
+        super().__init__("\n".join(map(str, problems)))
+        self.problems = problems
+
+
+@dataclass(slots=True)
+class Value:
+    line: int
+    value: Any  # str, int, float, bool, None, list of these, dict of these
+
+
+@dataclass(slots=True)
+class Block:
+    kind: str
+    labels: list[str]
+    line: int
+    values: dict[str, Value] = field(default_factory=dict)
+    blocks: list[Block] = field(default_factory=list)
+
+
+def parse(text: str, file: str) -> Block:
+    """The file as one block. Raises ConfigError."""
+    try:
+        tree = hcl2.parses_to_tree(text if text.endswith("\n") else text + "\n")
+    except UnexpectedInput as error:
+        context = error.get_context(text, 30).strip().split("\n")[0]
+        expected = f"not HCL, near: {context}"
+        raise ConfigError([Problem(file, max(getattr(error, "line", 0), 0), "", expected)]) from None
+    return Reader(file).body(tree.children[0], Block("", [], 1))
+
+
+class Reader:
+    def __init__(self, file: str) -> None:
+        self.file = file
+
+    def fail(self, line: int, key: str, expected: str) -> ConfigError:
+        return ConfigError([Problem(self.file, line, key, expected)])
+
+    def body(self, tree: Any, into: Block) -> Block:
+        for node in tree.children:
+            if not isinstance(node, Tree):
+                continue
+            if node.data == "attribute":
+                key, line = str(node.children[0].children[0]), node.meta.line
+                if key in into.values:
+                    raise self.fail(line, key, f"given twice, first in line {into.values[key].line}")
+                into.values[key] = Value(line, self.value(node.children[-1], key))
+            elif node.data == "block":
+                into.blocks.append(self.block(node))
+        return into
+
+    def block(self, node: Any) -> Block:
+        trees = [each for each in node.children if isinstance(each, Tree)]
+        kind = str(trees[0].children[0])
+        labels = [self.label(each) for each in trees[1:] if each.data in ("string", "identifier")]
+        block = Block(kind, labels, node.meta.line)
+        for each in trees[1:]:
+            if each.data == "body":
+                self.body(each, block)
+        return block
+
+    def label(self, node: Any) -> str:
+        return str(node.children[0]) if node.data == "identifier" else str(self.string(node, "label"))
+
+    def value(self, node: Any, key: str) -> Any:
+        if isinstance(node, Token):
+            raise self.fail(node.line or 0, key, "a literal: string, number, true, false, list or object")
+        line = node.meta.line if not node.meta.empty else 0
+        children = [each for each in node.children if isinstance(each, Tree)
+                    and each.data != "new_line_or_comment"]
+        match node.data:
+            case "expr_term" if len(children) == 1:
+                return self.value(children[0], key)
+            case "string":
+                return self.string(node, key)
+            case "int_lit":
+                return int(node.children[0])
+            case "float_lit":
+                return float(node.children[0])
+            case "keyword" | "identifier" if str(node.children[0]) in ("true", "false", "null"):
+                return {"true": True, "false": False, "null": None}[str(node.children[0])]
+            case "unary_op":
+                inner = self.value(children[-1], key)
+                if str(node.children[0]).strip() == "-" and isinstance(inner, (int, float)):
+                    return -inner
+            case "tuple":
+                return [self.value(each, key) for each in children]
+            case "object":
+                pairs = [[part for part in each.children if isinstance(part, Tree)] for each in children]
+                return {self.object_key(pair[0]): self.value(pair[-1], key) for pair in pairs}
+        raise self.fail(line, key, "a literal: string, number, true, false, list or object")
+
+    def object_key(self, node: Any) -> str:
+        while isinstance(node, Tree):
+            if node.data == "string":
+                return str(self.string(node, "key"))
+            node = node.children[0]
+        return str(node)
+
+    def string(self, node: Any, key: str) -> str:
+        text = ""
+        for each in node.children:
+            if isinstance(each, Tree):
+                if any(isinstance(part, Tree) for part in each.children):
+                    raise self.fail(node.meta.line, key, "a plain string, without ${...}")
+                text += "".join(map(str, each.children))
+        return text.replace('\\"', '"').replace("\\n", "\n").replace("\\\\", "\\")
--- /dev/null
+++ b/stepknot/config/settings.py
@@ -0,0 +1,344 @@
+"""What a broker is told: typed settings, and how an HCL file becomes them.
+
+A table for each block says which keys it has, how each is read and what it is when absent. What is unknown,
+missing, twice or out of range is a `Problem` with its line; all of them are told at once.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+import re
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from stepknot import interface as api
+from stepknot.config.hcl import Block, ConfigError, Problem, Value, parse
+from stepknot.net.http import HttpLimits
+
+OPERATIONS = ("search", "count", "get", "mget", "index", "create", "update", "delete", "bulk")
+FIELD_TYPES = ("text", "keyword", "long", "integer", "short", "byte", "double", "float", "date", "boolean")
+REQUIRED = object()
+UNITS = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0}
+SIZES = {"kb": 1024, "mb": 1024**2, "gb": 1024**3, "b": 1}
+
+
+class Bad(Exception):
+    """A value that a reader turns down; its text is what was expected."""
+
+
+Read = Callable[[Any], Any]
+
+
+def text(value: Any) -> str:
+    if not isinstance(value, str) or not value:
+        raise Bad("expected a string that is not empty")
+    return value
+
+
+def duration(value: Any) -> float:
+    if isinstance(value, (int, float)) and not isinstance(value, bool) and value >= 0:
+        return float(value)
+    found = re.fullmatch(r"(\d+(?:\.\d+)?)(ms|s|m|h)", value) if isinstance(value, str) else None
+    if not found:
+        raise Bad('expected a duration such as "250ms", "2s" or a number of seconds')
+    return float(found[1]) * UNITS[found[2]]
+
+
+def size(value: Any) -> int:
+    if isinstance(value, int) and not isinstance(value, bool) and value > 0:
+        return value
+    found = re.fullmatch(r"(\d+)(b|kb|mb|gb)", value.lower()) if isinstance(value, str) else None
+    if not found:
+        raise Bad('expected a size such as "64kb", "32mb" or a number of bytes')
+    return int(found[1]) * SIZES[found[2]]
+
+
+def count(least: int = 1, most: int = 1_000_000) -> Read:
+    def read(value: Any) -> int:
+        if not isinstance(value, int) or isinstance(value, bool) or not least <= value <= most:
+            raise Bad(f"expected a whole number from {least} to {most}")
+        return value
+
+    return read
+
+
+def number(least: float = 0.0, most: float = float("inf")) -> Read:
+    def read(value: Any) -> float:
+        if not isinstance(value, (int, float)) or isinstance(value, bool) or not least <= value <= most:
+            raise Bad(f"expected a number from {least:g} to {most:g}" if most < float("inf")
+                      else f"expected a number of {least:g} or more")
+        return float(value)
+
+    return read
+
+
+def flag(value: Any) -> bool:
+    if not isinstance(value, bool):
+        raise Bad("expected true or false")
+    return value
+
+
+def one_of(*names: str) -> Read:
+    def read(value: Any) -> str:
+        if value not in names:
+            raise Bad(f"expected one of {', '.join(names)}")
+        return str(value)
+
+    return read
+
+
+def some_of(*names: str) -> Read:
+    def read(value: Any) -> tuple[str, ...]:
+        if not isinstance(value, list) or not value or any(each not in names for each in value):
+            raise Bad(f"expected a list of some of {', '.join(names)}")
+        return tuple(value)
+
+    return read
+
+
+def address(value: Any) -> tuple[str, int]:
+    host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        raise Bad('expected an address and port such as "127.0.0.1:9200" or "[::1]:9200"') from None
+    if not port.isdigit() or int(port) > 65535:
+        raise Bad("expected a port from 0 to 65535 after the address")
+    return host.strip("[]"), int(port)
+
+
+@dataclass(frozen=True, slots=True)
+class Key:
+    read: Read
+    default: Any = REQUIRED
+
+
+TOP = {
+    "name": Key(text, "stepknot"), "zone": Key(text, ""), "listen": Key(address, ("127.0.0.1", 9200)),
+    "seed": Key(count(0, 2**63), 0), "instances": Key(count()),
+}
+FLEET = {"cells": Key(count()), "reach": Key(count(), 1), "parts_per_call": Key(count(), 16),
+         "list": Key(text), "list_every": Key(duration, 0.2)}
+RULES = {
+    "drain_grace": Key(duration, 2.0), "cold_share": Key(number(0.001, 1.0), 0.15),
+    "cold_time": Key(duration, 18.0), "fall_multiple": Key(number(1.0), 4.0),
+    "fall_time": Key(duration, 1.0), "extra_window": Key(duration, 0.0),
+    "extra_floor": Key(number(), 0.0), "extra_share": Key(number(), 0.0),
+}
+LIMITS = {
+    "max_attempts": Key(count(1, 100), 3), "cancelling": Key(flag, True), "probing": Key(flag, True),
+    "second_copies": Key(flag, True), "retry_after": Key(flag, True),
+    "max_retry_after": Key(duration, 3.0), "idle_connection": Key(duration, 30.0),
+}
+BOXES = {
+    "connections": Key(count(), 64), "connect_timeout": Key(duration, 1.0), "reply": Key(size, 64 * 1024**2),
+}
+HTTP = {
+    "header": Key(size, 16 * 1024), "url": Key(size, 4096), "body": Key(size, 32 * 1024**2),
+    "first_byte": Key(duration, 15.0), "body_time": Key(duration, 30.0), "idle": Key(duration, 75.0),
+    "write": Key(duration, 20.0),
+}
+REQUEST = {
+    "depth": Key(count(2, 200), 32), "window": Key(count(), 10_000), "buckets": Key(count(), 65_535),
+    "held": Key(count(), 4096), "bulk": Key(count(), 10_000), "searches": Key(count(), 200),
+}
+CLASS = {
+    "aim": Key(duration), "deadline": Key(duration), "worth": Key(number(), 1.0),
+    "late_value": Key(number(0, 1), 0.0), "effect": Key(one_of("safe", "keyed", "unsafe"), "safe"),
+    "repeat_window": Key(duration, 0.0), "need": Key(number(0, 1), 1.0), "floor": Key(number(0, 1), 1.0),
+    "partial_value": Key(number(0, 1), 0.0), "steps": Key(count(1, 2), 1),
+    "operations": Key(some_of(*OPERATIONS), ()),
+}
+INDEX = {"shards": Key(count(1, 1024)), "routing_shards": Key(count(1, 65536), 0)}
+FIELD = {"type": Key(one_of(*FIELD_TYPES))}
+
+
+@dataclass(frozen=True, slots=True)
+class Index:
+    """An index and where its shards begin among the fleet's: its shard n is the fleet's `first` + n."""
+
+    name: str
+    shards: int
+    routing_shards: int
+    first: int
+    fields: dict[str, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """A broker's settings, all times in seconds, sizes in bytes."""
+
+    name: str
+    zone: str
+    listen: tuple[str, int]
+    seed: int
+    list_file: Path
+    list_every: float
+    settings: api.Settings
+    operations: dict[str, str]  # operation: class
+    indices: dict[str, Index]
+    connections: int
+    connect_timeout: float
+    reply: int
+    http: HttpLimits
+    depth: int
+    window: int
+    buckets: int
+    held: int
+    bulk: int
+    searches: int
+
+
+def load(path: Path) -> Config:
+    """Raises ConfigError; OSError where the file cannot be read."""
+    return build(parse(path.read_text(), str(path)), str(path), path.parent)
+
+
+class Checker:
+    """Reads blocks by their tables and gathers what is wrong."""
+
+    def __init__(self, file: str) -> None:
+        self.file = file
+        self.problems: list[Problem] = []
+
+    def wrong(self, line: int, key: str, expected: str) -> None:
+        self.problems.append(Problem(self.file, line, key, expected))
+
+    def read(self, block: Block | None, table: dict[str, Key], where: str) -> dict[str, Any]:
+        values = block.values if block else {}
+        got = {}
+        for name in values.keys() - table.keys():
+            near = f"unknown; known here: {', '.join(table)}"
+            self.wrong(values[name].line, f"{where}{name}", near)
+        for name, key in table.items():
+            if name in values:
+                got[name] = self.one(values[name], key, where + name)
+            elif key.default is REQUIRED:
+                self.wrong(block.line if block else 1, where + name, "missing")
+                got[name] = None
+            else:
+                got[name] = key.default
+        return got
+
+    def one(self, value: Value, key: Key, name: str) -> Any:
+        try:
+            return key.read(value.value)
+        except Bad as error:
+            self.wrong(value.line, name, f"{error}, not {value.value!r}")
+        except (TypeError, ValueError):
+            self.wrong(value.line, name, f"not understood: {value.value!r}")
+        return None
+
+
+def build(top: Block, file: str, folder: Path) -> Config:
+    checker = Checker(file)
+    single: dict[str, Block] = {}
+    named: dict[str, list[Block]] = {"class": [], "index": []}
+    for block in top.blocks:
+        if block.kind in named and len(block.labels) == 1:
+            named[block.kind].append(block)
+        elif block.kind in ("fleet", "rules", "limits", "boxes", "http", "request") and not block.labels:
+            if block.kind in single:
+                checker.wrong(block.line, block.kind, "given twice")
+            single[block.kind] = block
+        else:
+            known = 'fleet, rules, limits, boxes, http, request, class "NAME", index "NAME"'
+            checker.wrong(block.line, " ".join([block.kind, *block.labels]), f"unknown block; known: {known}")
+    plain = checker.read(top, TOP, "")
+    fleet = checker.read(single.get("fleet"), FLEET, "fleet.")
+    rules = checker.read(single.get("rules"), RULES, "rules.")
+    limits = checker.read(single.get("limits"), LIMITS, "limits.")
+    boxes = checker.read(single.get("boxes"), BOXES, "boxes.")
+    http = checker.read(single.get("http"), HTTP, "http.")
+    request = checker.read(single.get("request"), REQUEST, "request.")
+    classes, operations = read_classes(checker, named["class"])
+    indices = read_indices(checker, named["index"])
+    if checker.problems:
+        raise ConfigError(sorted(checker.problems, key=lambda each: each.line))
+    shards = sum(index.shards for index in indices.values())
+    if shards % fleet["cells"] and shards > fleet["cells"]:
+        checker.wrong(single["fleet"].line, "fleet.cells",
+                      f"expected a divisor of all shards together ({shards}): shard s is held in cell s mod cells")
+        raise ConfigError(checker.problems)
+    settings = api.Settings(
+        instances=plain["instances"], cells=fleet["cells"], reach=fleet["reach"],
+        parts_per_call=fleet["parts_per_call"], classes=classes,
+        rules=api.Rules(**rules), limits=api.Limits(**limits), tick=0.005,
+    )
+    return Config(
+        name=plain["name"], zone=plain["zone"], listen=plain["listen"], seed=plain["seed"],
+        list_file=folder / fleet["list"], list_every=fleet["list_every"], settings=settings,
+        operations=operations, indices=indices, connections=boxes["connections"],
+        connect_timeout=boxes["connect_timeout"], reply=boxes["reply"], http=HttpLimits(**http), **request,
+    )
+
+
+def read_classes(checker: Checker, blocks: list[Block]) -> tuple[dict[str, api.QueryClass], dict[str, str]]:
+    classes: dict[str, api.QueryClass] = {}
+    operations: dict[str, str] = {}
+    for block in blocks:
+        name, where = block.labels[0], f"class.{block.labels[0]}."
+        got = checker.read(block, CLASS, where)
+        if name in classes:
+            checker.wrong(block.line, f"class.{name}", "given twice")
+        for operation in got["operations"] or ():
+            if operations.setdefault(operation, name) != name:
+                line = block.values["operations"].line
+                checker.wrong(line, where + "operations", f"{operation} is already class {operations[operation]}'s")
+        if None in got.values():
+            continue
+        for key, low, high in (("floor", got["floor"], got["need"]), ("aim", got["aim"], got["deadline"])):
+            if low > high:
+                other = "need" if key == "floor" else "deadline"
+                line = block.values.get(key, Value(block.line, 0)).line
+                checker.wrong(line, where + key, f"expected {other} ({high:g}) or less")
+        if got["effect"] == "keyed" and not got["repeat_window"]:
+            checker.wrong(block.line, where + "repeat_window", "missing: a keyed class has one")
+        if got["effect"] != "safe" and got["steps"] == 2:
+            checker.wrong(block.line, where + "steps", "expected 1: what has an effect has one step")
+        classes[name] = api.QueryClass(
+            name=name, aim=got["aim"], deadline=got["deadline"], worth=got["worth"],
+            late_value=got["late_value"], effect=api.Effect(got["effect"]),
+            repeat_window=got["repeat_window"], need=got["need"], floor=got["floor"],
+            partial_value=got["partial_value"], second_step_parts=got["steps"] - 1,
+        )
+    for operation in OPERATIONS:
+        if operation not in operations:
+            checker.wrong(1, "class", f"missing: a class with {operation} among its operations")
+    for operation in ("index", "create", "update", "delete", "bulk"):
+        kind = classes.get(operations.get(operation, ""))
+        if kind is not None and kind.effect is api.Effect.SAFE:
+            checker.wrong(1, f"class.{kind.name}.effect", f"expected keyed or unsafe: {operation} writes")
+    return classes, operations
+
+
+def read_indices(checker: Checker, blocks: list[Block]) -> dict[str, Index]:
+    indices: dict[str, Index] = {}
+    first = 0
+    for block in blocks:
+        name, where = block.labels[0], f"index.{block.labels[0]}."
+        got = checker.read(block, INDEX, where)
+        if name in indices:
+            checker.wrong(block.line, f"index.{name}", "given twice")
+        if not re.fullmatch(r"[a-z0-9][a-z0-9_.-]{0,254}", name):
+            checker.wrong(block.line, f"index.{name}", "expected a name in lower case, as the engines have them")
+        fields = {}
+        for inner in block.blocks:
+            if inner.kind != "field" or len(inner.labels) != 1:
+                checker.wrong(inner.line, where + inner.kind, 'unknown block; known here: field "NAME"')
+                continue
+            fields[inner.labels[0]] = checker.read(inner, FIELD, f"{where}{inner.labels[0]}.")["type"]
+        shards = got["shards"] or 1
+        indices[name] = Index(name, shards, got["routing_shards"] or default_routing_shards(shards), first, fields)
+        first += shards
+    if not indices:
+        checker.wrong(1, "index", 'missing: at least one index "NAME" { shards = N }')
+    return indices
+
+
+def default_routing_shards(shards: int) -> int:
+    """As the engines choose it: room for splits by two up to 1024 shards, one split at the least."""
+    splits = max(1, 10 - (shards - 1).bit_length())
+    return shards << splits
--- /dev/null
+++ b/stepknot/fronts/search/app.py
@@ -0,0 +1,537 @@
+"""The search front's requests: which path means what, and what its answer looks like.
+
+A codec and a mapping: queries are made in `broker/queries.py`, merged in `search/`. What is not supported is a
+400 that names it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Generator
+from typing import Any
+
+import orjson
+
+from stepknot.broker.core import Core, Status
+from stepknot.broker.queries import Client, Outcome, Queries
+from stepknot.config.settings import FIELD_TYPES, Config, Index
+from stepknot.fronts.jsonbody import read_json, read_lines
+from stepknot.fronts.search import replies
+from stepknot.fronts.search.admin import Admin
+from stepknot.fronts.search.replies import reply
+from stepknot.net.http import HttpError, Request, Response
+from stepknot.net.loop import Park
+from stepknot.net.server import Connection
+from stepknot.search.errors import ParsingError, RequestError, unsupported
+from stepknot.search.merge import Target
+from stepknot.search.request import parse_search, parse_source, seconds_of, source_body
+
+Reply = Generator[Park, Any, Response | None]
+CLASS_HEADER, TENANT_HEADER, NAME_HEADER = "x-query-class", "x-tenant", "x-opaque-id"
+# Parameters that shape the answer's form or are mere hints; any other is a 400.
+COMMON = {"pretty", "human", "error_trace", "filter_path"}
+HINTS = {"request_cache", "batched_reduce_size", "max_concurrent_shard_requests", "pre_filter_shard_size",
+         "ccs_minimize_roundtrips", "typed_keys", "ignore_unavailable", "allow_no_indices", "expand_wildcards",
+         "phase_took", "search_type", "max_concurrent_searches"}
+SEARCH = {"from", "size", "sort", "timeout", "cancel_after_time_interval", "track_total_hits", "track_scores",
+          "_source", "_source_includes", "_source_excludes", "allow_partial_search_results", "routing", "preference",
+          "rest_total_hits_as_int"} | HINTS
+DOCUMENT = {"routing", "_source", "_source_includes", "_source_excludes", "refresh", "timeout", "realtime",
+            "preference", "require_alias", "op_type", "wait_for_active_shards", "stored_fields"}
+MOST_NAME = 128  # characters of a client's own name for a query
+RESULTS = {"index": "index", "create": "create", "update": "update", "delete": "delete"}
+
+
+class SearchFront:
+    def __init__(self, config: Config, core: Core, queries: Queries, metrics: Callable[[], bytes]) -> None:
+        self.config, self.core, self.queries, self.metrics = config, core, queries, metrics
+        self.admin = Admin(config, core, queries)
+        self.requests = 0
+
+    # --- the way in and out
+
+    def handle(self, request: Request, connection: Connection) -> Reply:
+        self.requests += 1
+        try:
+            response = yield from self.route(request, connection)
+        except RequestError as error:
+            response = replies.request_error(error)
+        if response is not None and "filter_path" in request.query and response.status == 200:
+            response = filtered(response, request.query["filter_path"])
+        if response is not None and "pretty" in request.query and request.query["pretty"] != "false":
+            response = pretty(response)
+        if response is not None and NAME_HEADER in request.headers:
+            response.headers.append(("X-Opaque-Id", request.headers[NAME_HEADER][:MOST_NAME]))
+        return response
+
+    def http_error(self, error: HttpError) -> Response:
+        type_ = "content_too_long_exception" if error.status == 413 else "illegal_argument_exception"
+        return replies.error_reply(error.status, type_, error.reason)
+
+    def route(self, request: Request, connection: Connection) -> Reply:
+        parts = request.parts()
+        method = "GET" if request.method == "HEAD" else request.method
+        first = parts[0] if parts else ""
+        if not parts:
+            return self.only(method, "GET", lambda: self.admin.root())
+        if first == "metrics" and len(parts) == 1:
+            return Response(200, self.metrics(), content_type="text/plain; version=0.0.4; charset=utf-8")
+        if first in ("_cluster", "_cat", "_nodes"):
+            return (yield from self.admin.route(request, parts))
+        if first.startswith("_") and first not in ("_all",):
+            index, rest = "", parts
+        else:
+            index, rest = parts[0], parts[1:]
+        action = rest[0] if rest else ""
+        if not rest:
+            return self.index_request(request, method, index)
+        if len(rest) > 2 or len(rest) == 2 and action not in ("_doc", "_create", "_update", "_source", "_mapping"):
+            raise no_handler(request)
+        identity = rest[1] if len(rest) == 2 else ""
+        handlers: dict[tuple[str, str], Callable[[], Any]] = {
+            ("_search", "GET"): lambda: self.search(request, connection, index),
+            ("_search", "POST"): lambda: self.search(request, connection, index),
+            ("_msearch", "GET"): lambda: self.msearch(request, connection, index),
+            ("_msearch", "POST"): lambda: self.msearch(request, connection, index),
+            ("_count", "GET"): lambda: self.count(request, connection, index),
+            ("_count", "POST"): lambda: self.count(request, connection, index),
+            ("_mget", "GET"): lambda: self.mget(request, connection, index),
+            ("_mget", "POST"): lambda: self.mget(request, connection, index),
+            ("_bulk", "POST"): lambda: self.bulk(request, connection, index),
+            ("_bulk", "PUT"): lambda: self.bulk(request, connection, index),
+            ("_doc", "GET"): lambda: self.get(request, connection, index, identity, False),
+            ("_source", "GET"): lambda: self.get(request, connection, index, identity, True),
+            ("_doc", "PUT"): lambda: self.write(request, connection, index, identity, "index"),
+            ("_doc", "POST"): lambda: self.write(request, connection, index, identity, "index" if identity
+                                                 else "create"),
+            ("_doc", "DELETE"): lambda: self.write(request, connection, index, identity, "delete"),
+            ("_create", "PUT"): lambda: self.write(request, connection, index, identity, "create"),
+            ("_create", "POST"): lambda: self.write(request, connection, index, identity, "create"),
+            ("_update", "POST"): lambda: self.write(request, connection, index, identity, "update"),
+            ("_refresh", "POST"): lambda: self.refresh(request, index),
+            ("_refresh", "GET"): lambda: self.refresh(request, index),
+            ("_mapping", "GET"): lambda: self.mapping(request, index),
+            ("_settings", "GET"): lambda: self.settings(request, index),
+        }
+        handler = handlers.get((action, method))
+        if handler is None:
+            allowed = sorted(verb for name, verb in handlers if name == action)
+            if allowed:
+                return replies.error_reply(405, "method_not_allowed_exception",
+                                           f"Incorrect HTTP method for uri [{request.path}] and method "
+                                           f"[{request.method}], allowed: {allowed}", [("allow", ", ".join(allowed))])
+            raise no_handler(request)
+        answer = handler()
+        return answer if isinstance(answer, Response) else (yield from answer)
+
+    def only(self, method: str, allowed: str, handler: Callable[[], Response]) -> Response:
+        if method != allowed:
+            return replies.error_reply(405, "method_not_allowed_exception", f"allowed: [{allowed}]",
+                                       [("allow", allowed)])
+        return handler()
+
+    def client(self, request: Request, seconds: float | None) -> Client:
+        headers = request.headers
+        name = headers.get(NAME_HEADER, "")[:MOST_NAME]
+        if not name.isascii() or not name.isprintable():
+            name = ""
+        self.queries.tokens += 1
+        return Client(seconds, headers.get(TENANT_HEADER, "")[:MOST_NAME],
+                      name or f"{self.queries.boot}-q{self.queries.tokens}", headers.get(CLASS_HEADER, ""))
+
+    def time_of(self, request: Request, body: Any) -> float | None:
+        """The client's time: the shorter of `timeout` and `cancel_after_time_interval`."""
+        given = [request.query.get("timeout"), request.query.get("cancel_after_time_interval"),
+                 body.get("timeout") if isinstance(body, dict) else None]
+        times = [seconds for each in given if each is not None
+                 and (seconds := seconds_of(each, "timeout")) is not None]
+        return min(times, default=None)
+
+    def body(self, request: Request) -> Any:
+        return read_json(request.body, self.config.depth)
+
+    # --- searching
+
+    def search(self, request: Request, connection: Connection, names: str) -> Reply:
+        check_params(request, SEARCH)
+        body = self.body(request)
+        status, answer, headers = yield from self.one_search(
+            names, body, request.query, self.client(request, self.time_of(request, body)), hang_up(connection))
+        return reply(status, answer, headers) if answer is not None else None
+
+    def one_search(self, names: str, body: Any, params: dict[str, str], client: Client,
+                   on_hang_up: Any) -> Generator[Park, Any, tuple[int, Any, list[tuple[str, str]]]]:
+        search = parse_search(body, params, self.config.window)
+        if params.get("search_type", "query_then_fetch") != "query_then_fetch":
+            raise unsupported(f"search_type: {params['search_type']}", "search")
+        indices = self.queries.indices(names)
+        targets = self.queries.targets(indices, params.get("routing", ""), preferred(params.get("preference", "")))
+        operation = "search"
+        outcome: Outcome = yield from self.queries.search(search, targets, operation, client,
+                                                          params.get("routing", ""), on_hang_up)
+        if outcome.result is None or not outcome.in_time:
+            return 0, None, []
+        if outcome.result.status is not Status.ANSWERED:
+            ended = replies.ending_body(outcome.result, outcome.pieces, outcome.targets, "the search")
+            return ended["status"], ended, replies.retry_headers(outcome.result.retry_after)
+        shards = replies.shards_body(outcome.pieces, outcome.targets)
+        if params.get("allow_partial_search_results") == "false" and (shards["failed"] or outcome.lost):
+            return 503, replies.error_body(503, "search_phase_execution_exception", "Partial shards failure",
+                                           phase="query", grouped=True, failed_shards=shards.get("failures", [])), []
+        assert outcome.merged is not None
+        answer = replies.search_body(search, outcome.merged, outcome.took, shards, outcome.result.whole,
+                                     outcome.documents if search.source is not False else None,
+                                     outcome.lost if search.source is not False else 0)
+        if params.get("rest_total_hits_as_int") == "true" and "total" in answer["hits"]:
+            answer["hits"]["total"] = answer["hits"]["total"]["value"]
+        return 200, answer, []
+
+    def msearch(self, request: Request, connection: Connection, names: str) -> Reply:
+        check_params(request, SEARCH)
+        lines = read_lines(request.body, self.config.depth, 2 * self.config.searches)
+        if len(lines) % 2:
+            raise RequestError("a search's header has no body line after it")
+        begun = self.core.loop.now
+        goers: list[Callable[[], None]] = []
+        tasks = []
+        for place in range(0, len(lines), 2):
+            header, body = lines[place] or {}, lines[place + 1] or {}
+            params = {key: str(value).lower() if isinstance(value, bool) else str(value)
+                      for key, value in header.items() if key != "index"}
+            index = header.get("index", names)
+            index = ",".join(index) if isinstance(index, list) else str(index)
+            client = self.client(request, self.time_of(request, body))
+            tasks.append(self.core.loop.spawn(
+                self.guarded(index, body, {**request.query, **params}, client, goers.append), "msearch"))
+        hang_up(connection)(lambda: call_all(goers))
+        responses = []
+        for task in tasks:
+            if not task.done:
+                yield waiter(task)
+            status, answer, _ = task.result
+            if answer is None:
+                return None
+            responses.append({**answer, "status": status})
+        return reply(200, {"took": int((self.core.loop.now - begun) * 1000), "responses": responses})
+
+    def guarded(self, names: str, body: Any, params: dict[str, str], client: Client, on_hang_up: Any) -> Any:
+        """One of several searches: its error is its own."""
+        try:
+            for key in params:
+                if key not in SEARCH | COMMON:
+                    raise unsupported(key, "msearch header")
+            return (yield from self.one_search(names, body, params, client, on_hang_up))
+        except RequestError as error:
+            return error.status, replies.error_body(error.status, error.type, error.reason), []
+
+    def count(self, request: Request, connection: Connection, names: str) -> Reply:
+        check_params(request, {"routing", "preference", "timeout", "allow_no_indices", "ignore_unavailable",
+                               "expand_wildcards"})
+        body = self.body(request) or {}
+        for key in body:
+            if key != "query":
+                raise unsupported(key, "count")
+        search = parse_search({**body, "size": 0, "track_total_hits": True}, {}, self.config.window)
+        targets = self.queries.targets(self.queries.indices(names), request.query.get("routing", ""),
+                                       preferred(request.query.get("preference", "")))
+        outcome: Outcome = yield from self.queries.search(
+            search, targets, "count", self.client(request, self.time_of(request, None)),
+            request.query.get("routing", ""), hang_up(connection))
+        if outcome.result is None or not outcome.in_time:
+            return None
+        if outcome.result.status is not Status.ANSWERED:
+            return replies.ending_reply(outcome.result, outcome.pieces, outcome.targets, "the count")
+        assert outcome.merged is not None
+        return reply(200, {"count": outcome.merged.total,
+                           "_shards": replies.shards_body(outcome.pieces, outcome.targets)})
+
+    # --- documents
+
+    def get(self, request: Request, connection: Connection, name: str, identity: str, bare: bool) -> Reply:
+        check_params(request, DOCUMENT)
+        if not identity:
+            raise no_handler(request)
+        target = self.queries.shard(self.queries.index(name), request.query.get("routing") or identity)
+        outcome: Outcome = yield from self.queries.documents(
+            [(target, identity)], source_body(parse_source({}, request.query)), "get",
+            self.client(request, self.time_of(request, None)), hang_up(connection))
+        if outcome.result is None or not outcome.in_time:
+            return None
+        if outcome.result.status is not Status.ANSWERED:
+            return replies.ending_reply(outcome.result, outcome.pieces, outcome.targets, "the get")
+        body = document_body(target, identity, outcome)
+        if bare:
+            if not body["found"]:
+                return replies.error_reply(404, "resource_not_found_exception",
+                                           f"Document not found [{name}]/[{identity}]")
+            return reply(200, body.get("_source", {}))
+        return reply(200 if body["found"] else 404, body)
+
+    def mget(self, request: Request, connection: Connection, name: str) -> Reply:
+        check_params(request, DOCUMENT)
+        body = self.body(request) or {}
+        for key in body:
+            if key not in ("docs", "ids"):
+                raise unsupported(key, "mget")
+        docs = body.get("docs", [{"_id": each} for each in body.get("ids", [])])
+        if not isinstance(docs, list) or not docs or not all(isinstance(each, dict) for each in docs):
+            raise RequestError("Validation Failed: 1: no documents to get;", "action_request_validation_exception")
+        if len(docs) > self.config.window:
+            raise RequestError(f"{len(docs)} documents, at most {self.config.window} are taken")
+        wanted = []
+        for each in docs:
+            for key in each:
+                if key not in ("_index", "_id", "routing"):
+                    raise unsupported(key, "mget.docs")
+            if "_id" not in each or not (each.get("_index") or name):
+                raise RequestError("Validation Failed: 1: id or index is missing;",
+                                   "action_request_validation_exception")
+            routing = str(each.get("routing") or request.query.get("routing") or each["_id"])
+            wanted.append((self.queries.shard(self.queries.index(each.get("_index") or name), routing),
+                           str(each["_id"])))
+        outcome: Outcome = yield from self.queries.documents(
+            wanted, source_body(parse_source({}, request.query)), "mget",
+            self.client(request, self.time_of(request, None)), hang_up(connection))
+        if outcome.result is None or not outcome.in_time:
+            return None
+        if outcome.result.status is not Status.ANSWERED:
+            return replies.ending_reply(outcome.result, outcome.pieces, outcome.targets, "the mget")
+        return reply(200, {"docs": [document_body(target, identity, outcome) for target, identity in wanted]})
+
+    def write(self, request: Request, connection: Connection, name: str, identity: str, action: str) -> Reply:
+        check_params(request, DOCUMENT)
+        if not identity and action != "create":
+            raise no_handler(request)
+        if request.query.get("op_type") == "create" and action == "index":
+            action = "create"
+        index = self.queries.index(name)
+        body = self.body(request)
+        generated = not identity
+        if generated:
+            identity = f"{self.core.loop.rng.getrandbits(120):030x}"
+        if action == "update":
+            check_update(body)
+        elif action != "delete" and not isinstance(body, dict):
+            raise ParsingError("request body is required")
+        routing = request.query.get("routing", "")
+        target = self.queries.shard(index, routing or identity)
+        line = bulk_lines(action, target, identity, routing, body)
+        outcome, _ = yield from self.queries.write(
+            [(target, line)], action, self.client(request, self.time_of(request, None)),
+            refresh_of(request), hang_up(connection))
+        if outcome.result is None or not outcome.in_time:
+            return None
+        if outcome.result.status is not Status.ANSWERED:
+            return replies.ending_reply(outcome.result, outcome.pieces, outcome.targets, f"the {action}")
+        item = next(iter(outcome.pieces[0].answer[0].values()))
+        if "error" in item:
+            return replies.error_reply(item["status"], item["error"]["type"], item["error"]["reason"])
+        return reply(item["status"], {key: value for key, value in item.items() if key != "status"})
+
+    def bulk(self, request: Request, connection: Connection, name: str) -> Reply:
+        check_params(request, DOCUMENT)
+        lines = read_lines(request.body, self.config.depth, 2 * self.config.bulk + 2)
+        writes, actions, place = [], [], 0
+        while place < len(lines):
+            head = lines[place]
+            place += 1
+            if head is None:
+                continue
+            if len(head) != 1:
+                raise RequestError(f"Malformed action/metadata line [{place}]")
+            ((action, meta),) = head.items()
+            if action not in ("index", "create", "update", "delete") or not isinstance(meta, dict):
+                raise RequestError(f"Malformed action/metadata line [{place}]: unknown action [{action}]")
+            for key in meta:
+                if key not in ("_index", "_id", "routing"):
+                    raise unsupported(key, f"bulk.{action}")
+            body = None
+            if action != "delete":
+                if place >= len(lines) or lines[place] is None:
+                    raise RequestError(f"action/metadata line [{place}] has no source line after it")
+                body = lines[place]
+                place += 1
+            if action == "update":
+                check_update(body)
+            if "_id" not in meta and action in ("update", "delete"):
+                raise RequestError("Validation Failed: 1: id is missing;", "action_request_validation_exception")
+            identity = str(meta.get("_id") or f"{self.core.loop.rng.getrandbits(120):030x}")
+            routing = str(meta.get("routing") or request.query.get("routing") or "")
+            target = self.queries.shard(self.queries.index(str(meta.get("_index") or name)), routing or identity)
+            writes.append((target, bulk_lines(action, target, identity, routing, body)))
+            actions.append((action, identity))
+        if not writes:
+            raise RequestError("Validation Failed: 1: no requests added;", "action_request_validation_exception")
+        outcome, places = yield from self.queries.write(
+            writes, "bulk", self.client(request, self.time_of(request, None)), refresh_of(request),
+            hang_up(connection))
+        if outcome.result is None or not outcome.in_time:
+            return None
+        if outcome.result.status is not Status.ANSWERED:
+            return replies.ending_reply(outcome.result, outcome.pieces, outcome.targets, "the bulk")
+        by_target = dict(zip(outcome.targets, outcome.pieces, strict=True))
+        items = []
+        for (target, at), (action, identity) in zip(places, actions, strict=True):
+            piece = by_target[target]
+            items.append(piece.answer[at] if piece.served else {action: {
+                "_index": target.index, "_id": identity, "status": 503, "error": {
+                    "type": "unavailable_shards_exception",
+                    "reason": f"it may or may not have taken effect: {piece.reason}"}}})
+        errors = any("error" in next(iter(item.values())) for item in items)
+        return reply(200, {"took": int(outcome.took * 1000), "errors": errors, "items": items})
+
+    # --- indices
+
+    def index_request(self, request: Request, method: str, names: str) -> Response:
+        if method == "PUT":
+            if names in self.config.indices:
+                raise RequestError(f"index [{names}] already exists", "resource_already_exists_exception")
+            raise RequestError(f"index [{names}] is not in the broker's settings; indices are declared there",
+                               "security_exception", 403)
+        if method == "DELETE":
+            self.queries.index(names)
+            raise RequestError(f"index [{names}] is declared in the broker's settings and is removed there",
+                               "security_exception", 403)
+        if method != "GET":
+            raise no_handler(request)
+        indices = self.queries.indices(names)
+        return reply(200, {each.name: {"aliases": {}, "mappings": mapping_body(each),
+                                       "settings": settings_body(each)} for each in indices})
+
+    def mapping(self, request: Request, names: str) -> Response:
+        return reply(200, {each.name: {"mappings": mapping_body(each)} for each in self.queries.indices(names)})
+
+    def settings(self, request: Request, names: str) -> Response:
+        return reply(200, {each.name: {"settings": settings_body(each)} for each in self.queries.indices(names)})
+
+    def refresh(self, request: Request, names: str) -> Response:
+        """Boxes show a write once they have answered it (`refresh=true` goes along): nothing is left to do."""
+        shards = sum(each.shards for each in self.queries.indices(names))
+        return reply(200, {"_shards": {"total": shards, "successful": shards, "failed": 0}})
+
+
+# --- helpers
+
+
+def hang_up(connection: Connection) -> Callable[[Callable[[], None]], None]:
+    def tell(gone: Callable[[], None]) -> None:
+        connection.gone = gone
+        if connection.link.peer_closed:
+            connection.on_peer_closed()
+
+    return tell
+
+
+def call_all(goers: list[Callable[[], None]]) -> None:
+    for gone in goers:
+        gone()
+
+
+def waiter(task: Any) -> Park:
+    def park(own: Any) -> None:
+        ticket = own.ticket
+        task.waiters.append(lambda: own.resume(ticket))
+
+    return park
+
+
+def no_handler(request: Request) -> RequestError:
+    return RequestError(f"no handler found for uri [{request.path}] and method [{request.method}]")
+
+
+def check_params(request: Request, known: set[str]) -> None:
+    for key in request.query:
+        if key not in known and key not in COMMON:
+            raise RequestError(f"request [{request.path}] contains unrecognized parameter: [{key}]")
+
+
+def preferred(preference: str) -> frozenset[int] | None:
+    """`_shards:1,2` narrows the shards; other preferences are hints that the choice of replica does without."""
+    if not preference.startswith("_shards:"):
+        return None
+    numbers = preference.removeprefix("_shards:").partition("|")[0].split(",")
+    if not all(each.isdigit() for each in numbers):
+        raise RequestError(f"malformed preference [{preference}]")
+    return frozenset(map(int, numbers))
+
+
+def refresh_of(request: Request) -> bool:
+    value = request.query.get("refresh", "false")
+    if value not in ("", "true", "false", "wait_for"):
+        raise RequestError(f"Unknown value for refresh: [{value}]")
+    return value != "false"
+
+
+def check_update(body: Any) -> None:
+    if not isinstance(body, dict):
+        raise ParsingError("request body is required")
+    for key in body:
+        if key not in ("doc", "doc_as_upsert", "upsert"):
+            raise unsupported(key, "update")
+    if not isinstance(body.get("doc"), dict):
+        raise ParsingError("[update] needs [doc]")
+
+
+def bulk_lines(action: str, target: Target, identity: str, routing: str, body: Any) -> bytes:
+    if not identity or len(identity.encode()) > 512:
+        raise RequestError("an id must have 1 to 512 bytes")
+    meta = {"_index": target.index, "_id": identity} | ({"routing": routing} if routing else {})
+    line = orjson.dumps({action: meta}) + b"\n"
+    return line if action == "delete" else line + orjson.dumps(body) + b"\n"
+
+
+def document_body(target: Target, identity: str, outcome: Outcome) -> dict[str, Any]:
+    assert outcome.documents is not None
+    row = outcome.documents.get((target, identity))
+    if row is None:
+        served = any(piece.served for piece, each in zip(outcome.pieces, outcome.targets, strict=True)
+                     if each == target)
+        missing: dict[str, Any] = {"_index": target.index, "_id": identity, "found": False}
+        if not served:
+            missing["error"] = {"type": "no_shard_available_action_exception", "reason": "its shard did not answer"}
+            del missing["found"]
+        return missing
+    kept = ("_index", "_id", "_version", "_seq_no", "_primary_term")
+    body = {key: row[key] for key in kept if key in row} | {"found": True}
+    return body | ({"_source": row["_source"]} if "_source" in row else {})
+
+
+def mapping_body(index: Index) -> dict[str, Any]:
+    return {"properties": {name: {"type": kind} for name, kind in index.fields.items() if kind in FIELD_TYPES}}
+
+
+def settings_body(index: Index) -> dict[str, Any]:
+    return {"index": {"number_of_shards": str(index.shards), "number_of_routing_shards": str(index.routing_shards),
+                      "provided_name": index.name}}
+
+
+def pretty(response: Response) -> Response:
+    if response.content_type.startswith("application/json") and response.body:
+        response.body = orjson.dumps(orjson.loads(response.body), option=orjson.OPT_INDENT_2) + b"\n"
+    return response
+
+
+def filtered(response: Response, paths: str) -> Response:
+    """`filter_path`: keep what matches; dotted names with `*` for any one and `**` for any depth."""
+    patterns = [each.split(".") for each in paths.split(",") if each]
+    if any(pattern[0].startswith("-") for pattern in patterns):
+        raise unsupported("an excluding filter_path", "request")
+    response.body = orjson.dumps(keep(orjson.loads(response.body), patterns) or {})
+    return response
+
+
+def keep(value: Any, patterns: list[list[str]]) -> Any:
+    if any(not pattern for pattern in patterns):
+        return value
+    if isinstance(value, list):
+        return [inner for each in value if (inner := keep(each, patterns)) is not None] or None
+    if not isinstance(value, dict):
+        return None
+    kept = {}
+    for key, each in value.items():
+        rest = [pattern[1:] for pattern in patterns if pattern[0] in ("*", key)]
+        rest += [pattern for pattern in patterns if pattern[0] == "**"]
+        rest += [pattern[2:] for pattern in patterns if pattern[0] == "**" and pattern[1:2] in (["*"], [key])]
+        inner = keep(each, rest) if rest else None
+        if inner is not None:
+            kept[key] = inner
+    return kept or None
--- /dev/null
+++ b/stepknot/net/__init__.py
@@ -0,0 +1,1 @@
+"""Loop, sockets, timers and HTTP framing. Knows nothing of queries."""
--- /dev/null
+++ b/stepknot/net/loop.py
@@ -0,0 +1,481 @@
+"""One loop over `select.epoll`; coroutines are generators.
+
+A coroutine yields a `Park`: a function that is handed the coroutine's `Task` and arranges for `Task.resume`.
+Nested coroutines are called by `yield from`. The clock, the source of chance and the network come from
+outside (`Loop(clock, rng, network)`), so the same code runs on a virtual clock with virtual sockets.
+
+Invariants:
+- Descriptors are registered once, edge-triggered, for both directions. Whoever reads or writes goes on until
+  the kernel says that it would block, and parks only then: no edge is lost.
+- A task is resumed at most once a park; a resume that comes late is dropped by its ticket.
+- Work of a turn ends with the turn hooks: what was heard in a turn is decided on once.
+"""
+
+from __future__ import annotations
+
+import errno
+import heapq
+import os
+import random
+import select
+import signal
+import socket
+import time
+from collections import deque
+from collections.abc import Callable, Generator
+from typing import Any
+
+Park = Callable[["Task"], None]
+Coroutine = Generator[Park, Any, Any]
+
+READ, WRITE = select.EPOLLIN, select.EPOLLOUT
+GONE = select.EPOLLHUP | select.EPOLLERR
+BOTH = READ | WRITE | select.EPOLLRDHUP | select.EPOLLET
+MOST_EVENTS = 1024  # taken from one poll: the rest stays for the next turn
+ACCEPT_PAUSE = 0.05  # seconds for which a listener rests when descriptors or buffers run out
+ACCEPT_BATCH = 64  # connections accepted in a row before others have their turn
+OUT_OF = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
+LAG_BUCKETS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0)
+
+
+class Expired(Exception):
+    """A wait that took longer than it was given."""
+
+
+class Network:
+    """Where sockets come from: the real one. A virtual one has the same methods."""
+
+    def __init__(self) -> None:
+        self.epoll = select.epoll()
+        self.waker = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
+        self.epoll.register(self.waker, READ)
+
+    def wake(self) -> None:
+        """End a poll now, from a signal's handler."""
+        os.eventfd_write(self.waker, 1)
+
+    def listen(self, host: str, port: int, backlog: int = 1024) -> socket.socket:
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        sock.bind((host, port))
+        sock.listen(backlog)
+        return sock
+
+    def connect(self, host: str, port: int) -> socket.socket:
+        """A socket that is connecting; it becomes writable when it is connected or has failed."""
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        code = sock.connect_ex((host, port))
+        if code not in (0, errno.EINPROGRESS):
+            sock.close()
+            raise OSError(code, "connect")
+        return sock
+
+    def register(self, sock: socket.socket) -> None:
+        self.epoll.register(sock.fileno(), BOTH)
+
+    def forget(self, sock: socket.socket) -> None:
+        try:
+            self.epoll.unregister(sock.fileno())
+        except (OSError, ValueError):
+            pass
+
+    def poll(self, timeout: float) -> list[tuple[int, int]]:
+        try:
+            ready = self.epoll.poll(timeout, MOST_EVENTS)
+        except InterruptedError:
+            return []
+        if any(number == self.waker for number, _ in ready):
+            os.eventfd_read(self.waker)
+        return ready
+
+
+class Timer:
+    __slots__ = ("at", "what")
+
+    def __init__(self, at: float, what: Callable[[], None]) -> None:
+        self.at = at
+        self.what: Callable[[], None] | None = what
+
+    def cancel(self) -> None:
+        self.what = None
+
+    def __lt__(self, other: Timer) -> bool:
+        return self.at < other.at
+
+
+class Task:
+    """One coroutine in flight. `result` and `error` are set once `done`."""
+
+    __slots__ = ("loop", "steps", "name", "done", "result", "error", "ticket", "waiters", "__weakref__")
+
+    def __init__(self, loop: Loop, steps: Coroutine, name: str) -> None:
+        self.loop, self.steps, self.name = loop, steps, name
+        self.done, self.ticket = False, 0
+        self.result: Any = None
+        self.error: BaseException | None = None
+        self.waiters: list[Callable[[], None]] = []
+
+    def resume(self, ticket: int, value: Any = None, error: BaseException | None = None) -> None:
+        """Go on at the next chance, if still parked under this ticket."""
+        if not self.done and ticket == self.ticket:
+            self.ticket += 1
+            self.loop.due.append((self, self.ticket, value, error))
+
+    def step(self, value: Any, error: BaseException | None) -> None:
+        try:
+            park = self.steps.throw(error) if error else self.steps.send(value)
+        except StopIteration as stop:
+            self.finish(stop.value, None)
+        except Exception as failure:  # noqa: BLE001 - one task's end must not be the loop's
+            self.finish(None, failure)
+        else:
+            self.ticket += 1
+            park(self)
+
+    def finish(self, result: Any, error: BaseException | None) -> None:
+        self.done, self.result, self.error = True, result, error
+        self.loop.tasks.discard(self)
+        if error is not None and not self.waiters:
+            self.loop.on_error(self.name, error)
+        for waiter in self.waiters:
+            waiter()
+        self.waiters = []
+
+    def kill(self) -> None:
+        """End it where it stands; its `finally` clauses run."""
+        if not self.done:
+            self.ticket += 1
+            self.steps.close()
+            self.finish(None, None)
+
+
+class Signal:
+    """What one task awaits and anything may set, once; a value goes with it."""
+
+    __slots__ = ("task", "ticket", "set_", "value")
+
+    def __init__(self) -> None:
+        self.task: Task | None = None
+        self.ticket, self.set_ = 0, False
+        self.value: Any = None
+
+    def set(self, value: Any = None) -> None:
+        if not self.set_:
+            self.set_, self.value = True, value
+            if self.task is not None:
+                self.task.resume(self.ticket, value)
+
+    def park(self, task: Task) -> None:
+        self.task, self.ticket = task, task.ticket
+
+    def wait(self) -> Generator[Park, Any, Any]:
+        if not self.set_:
+            yield self.park
+        return self.value
+
+
+class Loop:
+    def __init__(
+        self,
+        clock: Callable[[], float] = time.monotonic,
+        rng: random.Random | None = None,
+        network: Network | None = None,
+        on_error: Callable[[str, BaseException], None] | None = None,
+    ) -> None:
+        self.clock = clock
+        self.rng = rng or random.Random()
+        self.network = network or Network()
+        self.on_error = on_error or self.raise_error
+        self.now = clock()
+        self.links: dict[int, Link] = {}
+        self.timers: list[Timer] = []
+        self.due: deque[tuple[Task, int, Any, BaseException | None]] = deque()
+        self.tasks: set[Task] = set()
+        self.turn_hooks: list[Callable[[], None]] = []
+        self.stopping = False
+        self.again = False  # something was left for the next turn: it must not wait
+        self.failure: BaseException | None = None
+        self.lag_counts = [0] * (len(LAG_BUCKETS) + 1)
+        self.lag_sum, self.lag_most, self.turns, self.busy = 0.0, 0.0, 0, 0.0
+
+    def raise_error(self, name: str, error: BaseException) -> None:
+        self.failure, self.stopping = error, True
+
+    # --- tasks and timers
+
+    def spawn(self, steps: Coroutine, name: str = "task") -> Task:
+        task = Task(self, steps, name)
+        self.tasks.add(task)
+        self.due.append((task, task.ticket, None, None))
+        return task
+
+    def call_at(self, at: float, what: Callable[[], None]) -> Timer:
+        timer = Timer(at, what)
+        heapq.heappush(self.timers, timer)
+        return timer
+
+    def call_later(self, delay: float, what: Callable[[], None]) -> Timer:
+        return self.call_at(self.now + delay, what)
+
+    def sleep(self, delay: float) -> Generator[Park, Any, None]:
+        def park(task: Task) -> None:
+            ticket = task.ticket
+            self.call_later(delay, lambda: task.resume(ticket))
+
+        yield park
+
+    # --- the loop itself
+
+    def run(self) -> None:
+        """Turn until `stop`; an error of a task nobody awaits ends it loudly, unless `on_error` takes it."""
+        while not self.stopping:
+            self.turn()
+        if self.failure is not None:
+            raise self.failure
+
+    def stop(self) -> None:
+        self.stopping = True
+
+    def on_signal(self, what: Callable[[], None], *numbers: int) -> None:
+        """Call `what` in the next turn after one of these signals."""
+        def handler(number: int, frame: object) -> None:
+            self.call_at(0.0, what)
+            self.network.wake()
+
+        for number in numbers:
+            signal.signal(number, handler)
+
+    def turn(self) -> None:
+        wait = 0.0 if self.due or self.again else self.until_next()
+        self.again = False
+        ready = self.network.poll(wait)
+        self.now = begun = self.clock()
+        for number, mask in ready:
+            link = self.links.get(number)
+            if link is not None:
+                link.on_event(mask)
+        self.run_due()
+        self.fire()
+        self.run_due()
+        for hook in self.turn_hooks:
+            hook()
+        self.run_due()
+        self.note_lag(self.clock() - begun)
+
+    def until_next(self) -> float:
+        while self.timers and self.timers[0].what is None:
+            heapq.heappop(self.timers)
+        return min(max(self.timers[0].at - self.clock(), 0.0), 1.0) if self.timers else 1.0
+
+    def run_due(self) -> None:
+        due = self.due
+        while due:
+            task, ticket, value, error = due.popleft()
+            if not task.done and ticket == task.ticket:
+                task.step(value, error)
+
+    def fire(self) -> None:
+        timers, now = self.timers, self.now
+        while timers and timers[0].at <= now:
+            timer = heapq.heappop(timers)
+            if timer.what is not None:
+                timer.what()
+
+    def note_lag(self, took: float) -> None:
+        """How long a turn kept everything else waiting."""
+        self.turns += 1
+        self.busy += took
+        self.lag_sum += took
+        self.lag_most = max(self.lag_most, took)
+        place = 0
+        while place < len(LAG_BUCKETS) and took > LAG_BUCKETS[place]:
+            place += 1
+        self.lag_counts[place] += 1
+
+    # --- sockets
+
+    def listen(
+        self, host: str, port: int, on_accept: Callable[[Link, tuple[Any, ...]], None]
+    ) -> Listener:
+        return Listener(self, self.network.listen(host, port), on_accept)
+
+    def connect(self, host: str, port: int, timeout: float) -> Generator[Park, Any, Link]:
+        """A connected link. Raises OSError, or Expired after `timeout` seconds."""
+        link = Link(self, self.network.connect(host, port))
+        try:
+            yield from link.wait_writable(timeout)
+            code = link.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                raise OSError(code, "connect")
+        except BaseException:
+            link.close()
+            raise
+        return link
+
+
+class Link:
+    """One socket on the loop. One task may read and one may write at a time."""
+
+    __slots__ = ("loop", "sock", "number", "reader", "writer", "can_read", "can_write", "peer_closed",
+                 "closed", "on_peer_closed", "unsent")
+
+    def __init__(self, loop: Loop, sock: Any) -> None:
+        self.loop, self.sock, self.number = loop, sock, sock.fileno()
+        self.reader: tuple[Task, int] | None = None
+        self.writer: tuple[Task, int] | None = None
+        self.can_read, self.can_write = True, False
+        self.peer_closed = self.closed = False
+        self.on_peer_closed: Callable[[], None] | None = None
+        self.unsent = 0  # bytes of the last write that the kernel has not taken
+        loop.links[self.number] = self
+        loop.network.register(sock)
+
+    def on_event(self, mask: int) -> None:
+        if mask & (READ | GONE | select.EPOLLRDHUP):
+            self.can_read = True
+            if self.reader is not None:
+                (task, ticket), self.reader = self.reader, None
+                task.resume(ticket)
+        if mask & (WRITE | GONE):
+            self.can_write = True
+            if self.writer is not None:
+                (task, ticket), self.writer = self.writer, None
+                task.resume(ticket)
+        if mask & (GONE | select.EPOLLRDHUP) and not self.peer_closed:
+            self.peer_closed = True
+            if self.on_peer_closed is not None:
+                self.on_peer_closed()
+
+    def park_reader(self, task: Task) -> None:
+        self.reader = (task, task.ticket)
+
+    def park_writer(self, task: Task) -> None:
+        self.writer = (task, task.ticket)
+
+    def wait_writable(self, timeout: float | None = None) -> Generator[Park, Any, None]:
+        while not self.can_write:
+            yield from self.parked(self.park_writer, timeout)
+
+    def parked(self, park: Park, timeout: float | None) -> Generator[Park, Any, None]:
+        if timeout is None:
+            yield park
+            return
+
+        timers: list[Timer] = []
+
+        def park_until(task: Task) -> None:
+            ticket = task.ticket
+            timers.append(self.loop.call_later(timeout, lambda: task.resume(ticket, None, Expired())))
+            park(task)
+
+        try:
+            yield park_until
+        finally:
+            for timer in timers:
+                timer.cancel()
+
+    def recv_now(self, most: int) -> bytes | None:
+        """Bytes at hand; b"" at the stream's end; None where it would block. Raises OSError."""
+        if not self.can_read:
+            return None
+        try:
+            data: bytes = self.sock.recv(most)
+        except BlockingIOError:
+            self.can_read = False
+            return None
+        if len(data) < most and data and not self.peer_closed:
+            self.can_read = False  # the next edge says when there is more
+        return data
+
+    def recv(self, most: int, timeout: float | None = None) -> Generator[Park, Any, bytes]:
+        """At least a byte, or b"" at the stream's end. Raises OSError, Expired."""
+        while (data := self.recv_now(most)) is None:
+            yield from self.parked(self.park_reader, timeout)
+            if self.closed:
+                return b""
+        return data
+
+    def send_now(self, data: bytes | memoryview) -> int:
+        try:
+            sent: int = self.sock.send(data)
+            return sent
+        except BlockingIOError:
+            self.can_write = False
+            return 0
+
+    def send(self, data: bytes, timeout: float | None = None) -> Generator[Park, Any, None]:
+        """All of it, as fast as the peer takes it; `timeout` is for each wait. Raises OSError, Expired."""
+        self.unsent = len(data)
+        sent = self.send_now(data)
+        self.unsent -= sent
+        if not self.unsent:
+            return
+        view = memoryview(data)
+        while self.unsent:
+            self.can_write = False
+            yield from self.wait_writable(timeout)
+            if self.closed:
+                raise ConnectionError("closed here")
+            self.unsent -= self.send_now(view[len(data) - self.unsent:])
+
+    def close(self, abort: bool = False) -> None:
+        """Close at once; with `abort` the peer sees a reset."""
+        if self.closed:
+            return
+        self.closed = True
+        self.loop.links.pop(self.number, None)
+        self.loop.network.forget(self.sock)
+        if abort:
+            try:
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+            except OSError:
+                pass
+        self.sock.close()
+        for parked in (self.reader, self.writer):
+            if parked is not None:
+                parked[0].resume(parked[1])
+        self.reader = self.writer = None
+
+
+class Listener:
+    """Accepts until closed. When descriptors or buffers run out it rests a little: it neither spins nor dies."""
+
+    def __init__(
+        self, loop: Loop, sock: Any, on_accept: Callable[[Link, tuple[Any, ...]], None]
+    ) -> None:
+        self.loop, self.link, self.on_accept = loop, Link(loop, sock), on_accept
+        self.address: tuple[Any, ...] = sock.getsockname()
+        self.rests = 0
+        self.task = loop.spawn(self.accepting(), "accept")
+
+    def accepting(self) -> Coroutine:
+        link = self.link
+        taken = 0
+        while not link.closed:
+            try:
+                sock, peer = link.sock.accept()
+            except BlockingIOError:
+                taken = 0
+                yield link.park_reader
+                continue
+            except OSError as error:
+                if link.closed:
+                    return
+                if error.errno in OUT_OF:
+                    self.rests += 1
+                    yield from self.loop.sleep(ACCEPT_PAUSE)
+                continue  # else the peer was gone before it was accepted
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.on_accept(Link(self.loop, sock), peer)
+            taken += 1
+            if taken % ACCEPT_BATCH == 0:
+                yield from self.loop.sleep(0.0)
+
+    def close(self) -> None:
+        self.link.close()
--- /dev/null
+++ b/stepknot/search/__init__.py
@@ -0,0 +1,1 @@
+"""The search model: queries, aggregations, sorting, routing and merging, as pure functions."""
