Indices made at run time; the official client's own calls pass against real brokers and boxes

Need: opensearch-py must work unmodified, index calls among them. Created indices live at the boxes; brokers learn of them by asking, with a lease, and share nothing. A divisor check of cells was wrong and went.

--- a/stepknot/broker/queries.py
+++ b/stepknot/broker/queries.py
@@ -13,6 +13,7 @@
 
 from stepknot.boxes.codec import SearchPart, WritePart
 from stepknot.broker.core import Ask, Core, Piece, Result, Status
+from stepknot.broker.indices import Indices
 from stepknot.config.settings import Config, Index
 from stepknot.net.loop import Park
 from stepknot.search.aggs import MergeError
@@ -51,31 +52,12 @@
 class Queries:
     def __init__(self, config: Config, core: Core) -> None:
         self.config, self.core = config, core
+        self.indices = Indices(config, core)
         self.boot = f"{core.loop.rng.getrandbits(48):012x}"  # tokens of this process differ from an earlier one's
         self.tokens = 0
 
     # --- indices and shards
 
-    def index(self, name: str) -> Index:
-        index = self.config.indices.get(name)
-        if index is None:
-            raise RequestError(f"no such index [{name}]", "index_not_found_exception", 404)
-        return index
-
-    def indices(self, names: str) -> list[Index]:
-        """Comma-separated, with `*`; "" and `_all` are all."""
-        if names in ("", "_all", "*"):
-            return list(self.config.indices.values())
-        found: dict[str, Index] = {}
-        for name in names.split(","):
-            if "*" in name:
-                head, _, tail = name.partition("*")
-                found |= {each: index for each, index in self.config.indices.items()
-                          if each.startswith(head) and each.endswith(tail)}
-            else:
-                found[name] = self.index(name)
-        return list(found.values())
-
     def shard(self, index: Index, routing: str) -> Target:
         shard = shard_of(routing, index.shards, index.routing_shards)
         return Target(index.name, shard, index.first + shard)
@@ -117,8 +99,6 @@
         seconds, begun = self.time_left(class_name, client), self.core.loop.now
         two = kind.second_step_parts > 0
         body = shard_body(search, seconds, fetch=not two)
-        by_shard = {target.place: target for target in targets}
-
         def piece(target: Target) -> Piece:
             return Piece(target.place, 1 / len(targets), SearchPart(target.index, target.shard, body, key),
                          lambda payload: read_shard(target, payload, search))
@@ -128,6 +108,7 @@
             return merge(search, found, len(found) < len(pieces), self.config.buckets)
 
         merged: list[Merged | RequestError] = []
+        owners: list[Target] = []  # of the second step's parts
 
         def second(pieces: list[Piece]) -> list[Piece]:
             try:
@@ -136,15 +117,21 @@
                 merged.append(error if isinstance(error, RequestError) else RequestError(
                     f"shards' answers do not fit together: {error}", "search_phase_execution_exception", 503))
                 return []
-            return self.fetch_pieces(search, merged[0].rows) if isinstance(merged[0], Merged) else []
+            if not isinstance(merged[0], Merged):
+                return []
+            owned = hits_by_shard(search, merged[0].rows)
+            owners.extend(owned)
+            return [Piece(target.place, len(ids) / len(merged[0].rows),
+                          SearchPart(target.index, target.shard, fetch_body(search, ids)), documents_of(ids))
+                    for target, ids in owned.items()]
 
         ask = Ask(class_name, begun + seconds, [piece(each) for each in targets], second if two else None,
                   client.tenant, key, client.name)
         if not targets:
             return Outcome(Result(Status.ANSWERED, True), [], [], 0.0, page([]))
         result = yield from self.run(ask, hang_up)
-        outcome = Outcome(result, ask.first, [by_shard[each.shard] for each in ask.first],
-                          self.core.loop.now - begun, in_time=self.core.loop.now < begun + seconds)
+        outcome = Outcome(result, ask.first, targets, self.core.loop.now - begun,
+                          in_time=self.core.loop.now < begun + seconds)
         if result is None or result.status is not Status.ANSWERED:
             return outcome
         if not two:
@@ -155,22 +142,11 @@
         if isinstance(merged[0], RequestError):
             raise merged[0]
         outcome.merged = merged[0]
-        outcome.documents = {(by_shard[each.shard], row["_id"]): row
-                             for each in ask.fetch if each.served for row in each.answer}
+        outcome.documents = {(target, row["_id"]): row for target, each in zip(owners, ask.fetch, strict=True)
+                             if each.served for row in each.answer}
         outcome.lost = len(merged[0].rows) - len(outcome.documents)
         return outcome
 
-    def fetch_pieces(self, search: Search, rows: list[tuple[Target, dict[str, Any]]]) -> list[Piece]:
-        """The second step: each shard that owns hits of the page is asked for them, by its share of the page."""
-        if search.source is False:
-            return []
-        owned: dict[Target, list[str]] = defaultdict(list)
-        for target, row in rows:
-            owned[target].append(row["_id"])
-        return [Piece(target.place, len(ids) / len(rows),
-                      SearchPart(target.index, target.shard, fetch_body(search, ids)), documents_of(ids))
-                for target, ids in owned.items()]
-
     def documents(self, wanted: list[tuple[Target, str]], source: Any, operation: str, client: Client,
                   hang_up: Any) -> Steps:
         """Documents by id, one part a shard however many there are; ends in (Ask, found by target and id)."""
@@ -220,6 +196,15 @@
         return outcome, places
 
 
+def hits_by_shard(search: Search, rows: list[tuple[Target, dict[str, Any]]]) -> dict[Target, list[str]]:
+    """What the second step asks of each shard that owns hits of the page; nothing where no documents are wanted."""
+    owned: dict[Target, list[str]] = defaultdict(list)
+    if search.source is not False:
+        for target, row in rows:
+            owned[target].append(row["_id"])
+    return owned
+
+
 def documents_of(ids: list[str]) -> Any:
     wanted = frozenset(ids)
 
--- a/stepknot/config/settings.py
+++ b/stepknot/config/settings.py
@@ -257,11 +257,6 @@
     indices = read_indices(checker, named["index"])
     if checker.problems:
         raise ConfigError(sorted(checker.problems, key=lambda each: each.line))
-    shards = sum(index.shards for index in indices.values())
-    if shards % fleet["cells"] and shards > fleet["cells"]:
-        checker.wrong(single["fleet"].line, "fleet.cells",
-                      f"expected a divisor of all shards together ({shards}): shard s is held in cell s mod cells")
-        raise ConfigError(checker.problems)
     settings = api.Settings(
         instances=plain["instances"], cells=fleet["cells"], reach=fleet["reach"],
         parts_per_call=fleet["parts_per_call"], classes=classes,
--- a/stepknot/fronts/search/admin.py
+++ b/stepknot/fronts/search/admin.py
@@ -59,7 +59,7 @@
 
     def copies(self, names: str) -> list[tuple[str, int, list[ServerEntry]]]:
         return [(target.index, target.shard, self.holders(target.place))
-                for target in self.queries.targets(self.queries.indices(names))]
+                for target in self.queries.targets(self.queries.indices.select(names))]
 
     def health(self, names: str) -> dict[str, Any]:
         """Green: each shard has all its listed boxes live; yellow: one at the least; red: a shard has none."""
@@ -106,7 +106,7 @@
 
     def indices(self, names: str) -> list[Row]:
         rows = []
-        for index in self.queries.indices(names):
+        for index in self.queries.indices.select(names):
             health = self.health(index.name)
             replicas = max((len(holders) for _, _, holders in self.copies(index.name)), default=1) - 1
             rows.append({"health": health["status"], "status": "open", "index": index.name, "uuid": index.name,
--- a/stepknot/fronts/search/app.py
+++ b/stepknot/fronts/search/app.py
@@ -82,8 +82,9 @@
         else:
             index, rest = parts[0], parts[1:]
         action = rest[0] if rest else ""
+        yield from self.queries.indices.learn(index.split(","))
         if not rest:
-            return self.index_request(request, method, index)
+            return (yield from self.index_request(request, method, index))
         if len(rest) > 2 or len(rest) == 2 and action not in ("_doc", "_create", "_update", "_source", "_mapping"):
             raise no_handler(request)
         identity = rest[1] if len(rest) == 2 else ""
@@ -109,6 +110,8 @@
             ("_update", "POST"): lambda: self.write(request, connection, index, identity, "update"),
             ("_refresh", "POST"): lambda: self.refresh(request, index),
             ("_refresh", "GET"): lambda: self.refresh(request, index),
+            ("_mapping", "PUT"): lambda: self.put_mapping(request, index),
+            ("_mapping", "POST"): lambda: self.put_mapping(request, index),
             ("_mapping", "GET"): lambda: self.mapping(request, index),
             ("_settings", "GET"): lambda: self.settings(request, index),
         }
@@ -163,7 +166,7 @@
         search = parse_search(body, params, self.config.window)
         if params.get("search_type", "query_then_fetch") != "query_then_fetch":
             raise unsupported(f"search_type: {params['search_type']}", "search")
-        indices = self.queries.indices(names)
+        indices = self.queries.indices.select(names)
         targets = self.queries.targets(indices, params.get("routing", ""), preferred(params.get("preference", "")))
         operation = "search"
         outcome: Outcome = yield from self.queries.search(search, targets, operation, client,
@@ -190,6 +193,8 @@
         lines = read_lines(request.body, self.config.depth, 2 * self.config.searches)
         if len(lines) % 2:
             raise RequestError("a search's header has no body line after it")
+        yield from self.queries.indices.learn(
+            each for header in lines[::2] for each in names_of((header or {}).get("index", "")))
         begun = self.core.loop.now
         goers: list[Callable[[], None]] = []
         tasks = []
@@ -231,7 +236,7 @@
             if key != "query":
                 raise unsupported(key, "count")
         search = parse_search({**body, "size": 0, "track_total_hits": True}, {}, self.config.window)
-        targets = self.queries.targets(self.queries.indices(names), request.query.get("routing", ""),
+        targets = self.queries.targets(self.queries.indices.select(names), request.query.get("routing", ""),
                                        preferred(request.query.get("preference", "")))
         outcome: Outcome = yield from self.queries.search(
             search, targets, "count", self.client(request, self.time_of(request, None)),
@@ -250,7 +255,7 @@
         check_params(request, DOCUMENT)
         if not identity:
             raise no_handler(request)
-        target = self.queries.shard(self.queries.index(name), request.query.get("routing") or identity)
+        target = self.queries.shard(self.queries.indices.get(name), request.query.get("routing") or identity)
         outcome: Outcome = yield from self.queries.documents(
             [(target, identity)], source_body(parse_source({}, request.query)), "get",
             self.client(request, self.time_of(request, None)), hang_up(connection))
@@ -277,6 +282,7 @@
             raise RequestError("Validation Failed: 1: no documents to get;", "action_request_validation_exception")
         if len(docs) > self.config.window:
             raise RequestError(f"{len(docs)} documents, at most {self.config.window} are taken")
+        yield from self.queries.indices.learn(str(each.get("_index", "")) for each in docs)
         wanted = []
         for each in docs:
             for key in each:
@@ -286,7 +292,7 @@
                 raise RequestError("Validation Failed: 1: id or index is missing;",
                                    "action_request_validation_exception")
             routing = str(each.get("routing") or request.query.get("routing") or each["_id"])
-            wanted.append((self.queries.shard(self.queries.index(each.get("_index") or name), routing),
+            wanted.append((self.queries.shard(self.queries.indices.get(each.get("_index") or name), routing),
                            str(each["_id"])))
         outcome: Outcome = yield from self.queries.documents(
             wanted, source_body(parse_source({}, request.query)), "mget",
@@ -303,7 +309,7 @@
             raise no_handler(request)
         if request.query.get("op_type") == "create" and action == "index":
             action = "create"
-        index = self.queries.index(name)
+        index = self.queries.indices.get(name)
         body = self.body(request)
         generated = not identity
         if generated:
@@ -331,6 +337,9 @@
         check_params(request, DOCUMENT)
         lines = read_lines(request.body, self.config.depth, 2 * self.config.bulk + 2)
         writes, actions, place = [], [], 0
+        yield from self.queries.indices.learn(
+            str(meta.get("_index", "")) for line in lines if line and len(line) == 1
+            for meta in line.values() if isinstance(meta, dict))
         while place < len(lines):
             head = lines[place]
             place += 1
@@ -356,7 +365,7 @@
                 raise RequestError("Validation Failed: 1: id is missing;", "action_request_validation_exception")
             identity = str(meta.get("_id") or f"{self.core.loop.rng.getrandbits(120):030x}")
             routing = str(meta.get("routing") or request.query.get("routing") or "")
-            target = self.queries.shard(self.queries.index(str(meta.get("_index") or name)), routing or identity)
+            target = self.queries.shard(self.queries.indices.get(str(meta.get("_index") or name)), routing or identity)
             writes.append((target, bulk_lines(action, target, identity, routing, body)))
             actions.append((action, identity))
         if not writes:
@@ -381,31 +390,30 @@
 
     # --- indices
 
-    def index_request(self, request: Request, method: str, names: str) -> Response:
+    def index_request(self, request: Request, method: str, names: str) -> Reply:
+        indices = self.queries.indices
         if method == "PUT":
-            if names in self.config.indices:
-                raise RequestError(f"index [{names}] already exists", "resource_already_exists_exception")
-            raise RequestError(f"index [{names}] is not in the broker's settings; indices are declared there",
-                               "security_exception", 403)
+            taken = yield from indices.create(names, self.body(request))
+            return reply(200, {"acknowledged": taken, "shards_acknowledged": taken, "index": names})
         if method == "DELETE":
-            self.queries.index(names)
-            raise RequestError(f"index [{names}] is declared in the broker's settings and is removed there",
-                               "security_exception", 403)
+            return reply(200, {"acknowledged": (yield from indices.delete(names))})
         if method != "GET":
             raise no_handler(request)
-        indices = self.queries.indices(names)
-        return reply(200, {each.name: {"aliases": {}, "mappings": mapping_body(each),
-                                       "settings": settings_body(each)} for each in indices})
+        return reply(200, {each.name: {"aliases": {}, "mappings": mapping_body(each), "settings": settings_body(each)}
+                           for each in indices.select(names)})
+
+    def put_mapping(self, request: Request, name: str) -> Reply:
+        return reply(200, {"acknowledged": (yield from self.queries.indices.put_mapping(name, self.body(request)))})
 
     def mapping(self, request: Request, names: str) -> Response:
-        return reply(200, {each.name: {"mappings": mapping_body(each)} for each in self.queries.indices(names)})
+        return reply(200, {each.name: {"mappings": mapping_body(each)} for each in self.queries.indices.select(names)})
 
     def settings(self, request: Request, names: str) -> Response:
-        return reply(200, {each.name: {"settings": settings_body(each)} for each in self.queries.indices(names)})
+        return reply(200, {each.name: {"settings": settings_body(each)} for each in self.queries.indices.select(names)})
 
     def refresh(self, request: Request, names: str) -> Response:
         """Boxes show a write once they have answered it (`refresh=true` goes along): nothing is left to do."""
-        shards = sum(each.shards for each in self.queries.indices(names))
+        shards = sum(each.shards for each in self.queries.indices.select(names))
         return reply(200, {"_shards": {"total": shards, "successful": shards, "failed": 0}})
 
 
@@ -421,6 +429,10 @@
     return tell
 
 
+def names_of(given: Any) -> list[str]:
+    return list(map(str, given)) if isinstance(given, list) else str(given).split(",")
+
+
 def call_all(goers: list[Callable[[], None]]) -> None:
     for gone in goers:
         gone()
--- a/stepknot/lab/box.py
+++ b/stepknot/lab/box.py
@@ -21,8 +21,9 @@
 
 from stepknot.boxes.codec import LOAD_HEADER, NAMED
 from stepknot.boxes.pool import Exchange, Pool
+from stepknot.broker.indices import index_of
 from stepknot.config.hcl import ConfigError
-from stepknot.config.settings import Config
+from stepknot.config.settings import Config, Index
 from stepknot.discovery.boxlist import read_entries
 from stepknot.interface import Effect, Outcome, Rules
 from stepknot.lab import corpus
@@ -141,6 +142,7 @@
         self.stamps: dict[tuple[str, int, str], int] = {}
         self.log: deque[dict[str, Any]] = deque(maxlen=MOST_LOG)
         self.pool = Pool(loop, 8, 0.5, 10.0, 256 * 1024**2)
+        self.indices = dict(config.indices)
         self.shards = self.build()
         limits = HttpLimits(idle=600.0, first_byte=600.0, body=256 * 1024**2)
         self.limits = limits
@@ -148,12 +150,7 @@
         self.control = Server(loop, plan.host, plan.control, self.on_control, limits, self.http_error)
 
     def build(self) -> dict[tuple[str, int], Shard]:
-        settings, shards = self.config.settings, {}
-        for index in self.config.indices.values():
-            for number in range(index.shards):
-                place = index.first + number
-                if self.plan.cell in {(place + step) % settings.cells for step in range(settings.reach)}:
-                    shards[index.name, number] = Shard(index.name, index.fields)
+        shards = {key: shard for index in self.config.indices.values() for key, shard in self.empty(index).items()}
         reports = self.config.indices.get(corpus.INDEX)
         if reports is not None:
             for number in range(self.plan.documents):
@@ -163,6 +160,13 @@
                     shard.put(name, corpus.document(number))
         return shards
 
+    def empty(self, index: Index) -> dict[tuple[str, int], Shard]:
+        """Those of the index's shards that this box's cell holds."""
+        settings = self.config.settings
+        return {(index.name, number): Shard(index.name, index.fields) for number in range(index.shards)
+                if self.plan.cell in {(index.first + number + step) % settings.cells
+                                      for step in range(settings.reach)}}
+
     # --- life
 
     def open(self) -> None:
@@ -237,7 +241,7 @@
         elif request.path == "/_bulk" and request.method == "POST":
             response = yield from self.bulk(request, connection, agent)
         else:
-            return self.error(400, f"no handler for {request.method} {request.path}")
+            return self.administer(request)
         if response is None:
             return None
         return (yield from self.spoil(response, connection, agent))
@@ -374,7 +378,7 @@
         return items, entries
 
     def write(self, action: str, meta: dict[str, Any], body: Any) -> tuple[dict[str, Any], dict[str, Any] | None]:
-        index, name = self.config.indices[meta["_index"]], meta["_id"]
+        index, name = self.indices[meta["_index"]], meta["_id"]
         number = shard_of(meta.get("routing") or name, index.shards, index.routing_shards)
         shard = self.shards.get((index.name, number))
         item: dict[str, Any] = {"_index": index.name, "_id": name}
@@ -440,6 +444,9 @@
         return Response(200, b"{}")
 
     def take_entry(self, entry: dict[str, Any]) -> None:
+        if "index" not in entry:
+            self.take_index_entry(entry)
+            return
         shard = self.shards.get((entry["index"], entry["shard"]))
         key = (entry["index"], entry["shard"], entry["id"])
         if shard is None or self.stamps.get(key, 0) >= entry["stamp"]:
@@ -465,6 +472,49 @@
                         self.take_entry(orjson.loads(line))
         self.open()
 
+    # --- indices
+
+    def administer(self, request: Request) -> Response:
+        """Create, show, map and delete indices."""
+        name, *rest = request.parts() or [""]
+        index = self.indices.get(name)
+        if request.method == "PUT" and not rest:
+            if index is not None:
+                return self.error(400, f"index [{name}] already exists")
+            self.take_entry({"created": name, "definition": orjson.loads(request.body)})
+            return Response(200, b'{"acknowledged":true}')
+        if index is None:
+            return self.error(404, f"no such index [{name}]")
+        if request.method == "GET":
+            return Response(200, orjson.dumps({name: {
+                "settings": {"index": {"number_of_shards": str(index.shards)}},
+                "mappings": {"properties": {field: {"type": kind} for field, kind in index.fields.items()}}}}))
+        if request.method == "PUT" and rest == ["_mapping"]:
+            entry = {"mapped": name, "fields": {field: each["type"] for field, each in
+                                                orjson.loads(request.body).get("properties", {}).items()}}
+        elif request.method == "DELETE" and not rest:
+            entry = {"deleted": name}
+        else:
+            return self.error(400, f"no handler for {request.method} {request.path}")
+        self.take_entry(entry)
+        return Response(200, b'{"acknowledged":true}')
+
+    def take_index_entry(self, entry: dict[str, Any]) -> None:
+        self.log.append(entry)
+        if "created" in entry:
+            index = index_of(entry["created"], entry["definition"], self.config.settings.cells)
+            if index.name not in self.indices:
+                self.indices[index.name] = index
+                self.shards.update(self.empty(index))
+        elif "mapped" in entry:
+            self.indices[entry["mapped"]].fields.update(entry["fields"])
+            for (name, _), shard in self.shards.items():
+                if name == entry["mapped"]:
+                    shard.fields.update(entry["fields"])
+        else:
+            self.indices.pop(entry["deleted"], None)
+            self.shards = {key: shard for key, shard in self.shards.items() if key[0] != entry["deleted"]}
+
     # --- control
 
     def on_control(self, request: Request, connection: Connection) -> Steps:
