--- a/stepknot/broker/indices.py
+++ b/stepknot/broker/indices.py
@@ -196,7 +196,7 @@
     for key in settings:
         if key.removeprefix("index.") not in ("number_of_shards", "number_of_replicas"):
             raise unsupported(key, "create index.settings")
-    given = settings.get("number_of_shards", settings.get("index.number_of_shards", 1))
+    given: Any = settings.get("number_of_shards", settings.get("index.number_of_shards", 1))
     if not str(given).isdigit() or not 1 <= int(given) <= MOST_SHARDS:
         raise RequestError(f"Failed to parse value [{given}] for setting [index.number_of_shards] must be 1 to "
                            f"{MOST_SHARDS}")
--- a/stepknot/broker/queries.py
+++ b/stepknot/broker/queries.py
@@ -98,7 +98,7 @@
         kind = self.core.settings.classes[class_name]
         seconds, begun = self.time_left(class_name, client), self.core.loop.now
         two = kind.second_step_parts > 0
-        body = shard_body(search, seconds, fetch=not two)
+        body = shard_body(search, seconds, not two, client.name)
         def piece(target: Target) -> Piece:
             return Piece(target.place, 1 / len(targets), SearchPart(target.index, target.shard, body, key),
                          lambda payload: read_shard(target, payload, search))
@@ -122,7 +122,8 @@
             owned = hits_by_shard(search, merged[0].rows)
             owners.extend(owned)
             return [Piece(target.place, len(ids) / len(merged[0].rows),
-                          SearchPart(target.index, target.shard, fetch_body(search, ids)), documents_of(ids))
+                          SearchPart(target.index, target.shard, fetch_body(search, ids, client.name)),
+                          documents_of(ids))
                     for target, ids in owned.items()]
 
         ask = Ask(class_name, begun + seconds, [piece(each) for each in targets], second if two else None,
@@ -157,8 +158,8 @@
                 by_target[target].append(name)
         pieces = []
         for target, ids in by_target.items():
-            body = {"query": {"ids": {"values": ids}}, "size": len(ids), "_source": source, "version": True,
-                    "seq_no_primary_term": True, "track_total_hits": False}
+            body = {"stats": [client.name], "query": {"ids": {"values": ids}}, "size": len(ids), "_source": source,
+                    "version": True, "seq_no_primary_term": True, "track_total_hits": False}
             pieces.append(Piece(target.place, len(ids) / sum(map(len, by_target.values())),
                                 SearchPart(target.index, target.shard, body, ids[0]), documents_of(ids)))
         seconds = self.time_left(class_name, client)
@@ -186,7 +187,7 @@
         for target, each in by_target.items():
             self.tokens += 1
             request = WritePart(target.index, target.shard, b"".join(each), len(each),
-                                f"{self.boot}-{self.tokens}", refresh)
+                                f"{self.boot}-{self.tokens}.{client.name}", refresh)
             pieces.append(Piece(target.place, len(each) / len(writes), request, lambda payload: payload["items"]))
         seconds = self.time_left(class_name, client)
         ask = Ask(class_name, self.core.loop.now + seconds, pieces, None, client.tenant, "", client.name)
--- a/stepknot/cli/main.py
+++ b/stepknot/cli/main.py
@@ -153,6 +153,81 @@
     sys.exit(run_demo(port, seconds, documents, brokers, boxes, progress(), click.echo))
 
 
+@cli.command()
+@click.argument("script", type=CONFIG, required=False)
+@click.option("--out", type=click.Path(path_type=Path), default=Path("day-out"), show_default=True,
+              help="Folder for records, logs and settings.")
+@click.option("--seconds", type=float, help="Length of the day.  [default: the script's, or 30]")
+@click.option("--rate", type=float, help="Queries a second.  [default: the script's, or 40]")
+@click.option("--seed", type=int, default=1, show_default=True, help="Of traffic and of who is struck.")
+@click.option("--brokers", type=int, default=2, show_default=True)
+@click.option("--boxes", type=int, default=12, show_default=True)
+@click.option("--documents", type=int, default=6_000, show_default=True)
+@click.option("--journal", type=CONFIG, help="Replay the kinds of trouble of a bench day from this journal entry.")
+@click.option("--journal-day", default="", help="Which of its days.  [default: the first]")
+@click.option("--json", "as_json", is_flag=True, help="Print the audit as JSON.")
+def day(script: Path | None, out: Path, seconds: float | None, rate: float | None, seed: int, brokers: int, boxes: int,
+        documents: int, journal: Path | None, journal_day: str, as_json: bool) -> None:
+    """Let a bad day happen to real processes, then audit it. Exit code 1 where a rule was broken.
+
+    SCRIPT is an HCL file of steps; without one, a built-in day in which everything goes wrong once.
+
+    \b
+    Example: stepknot day --seconds 20 --rate 60 --out /tmp/day
+    """
+    from stepknot.lab import script as scripts
+    from stepknot.lab.day import run_day
+
+    say = progress()
+    try:
+        if journal is not None:
+            plan, left_out = scripts.from_journal(journal, journal_day, seconds or scripts.SECONDS,
+                                                  rate or scripts.RATE)
+            if left_out:
+                say(f"not modelled here and left out: {', '.join(left_out)}")
+        elif script is not None:
+            plan = scripts.read_script(script, seconds, rate)
+        else:
+            plan = scripts.built_in(seconds or scripts.SECONDS, rate or scripts.RATE)
+    except ConfigError as error:
+        click.echo(f"error: {error}", err=True)
+        raise SystemExit(2) from None
+    counts = run_day(out, plan, brokers, boxes, documents, seed, say)
+    say("clients saw: " + ", ".join(f"{key} {count}" for key, count in sorted(counts.items())))
+    show_audit(out, as_json)
+
+
+@cli.command()
+@click.argument("folder", type=click.Path(exists=True, file_okay=False, path_type=Path))
+@click.option("--json", "as_json", is_flag=True, help="Print each rule as JSON.")
+def audit(folder: Path, as_json: bool) -> None:
+    """Decide the six rules from the records of a day in FOLDER. Exit code 1 where one was broken."""
+    show_audit(folder, as_json)
+
+
+def show_audit(folder: Path, as_json: bool) -> None:
+    import orjson
+
+    from stepknot.lab.audit import Records
+    from stepknot.lab.audit import audit as decide
+
+    try:
+        reports = decide(Records.load(folder))
+    except (OSError, StopIteration, ConfigError) as error:
+        click.echo(f"error: {folder} holds no whole record of a day: {error}", err=True)
+        raise SystemExit(2) from None
+    if as_json:
+        click.echo(orjson.dumps([each.body() for each in reports]))
+    else:
+        for each in reports:
+            near = "-" if each.nearest is None else f"{each.nearest:.3f} {each.unit}"
+            verdict = f"BROKEN {each.broken}x" if each.broken else "kept"
+            click.echo(f"{each.rule:<28} {verdict:<12} {each.checks:>8} checks   nearest: {near}")
+            for breach in each.breaches:
+                click.echo(f"    {breach}")
+    raise SystemExit(1 if any(each.broken for each in reports) else 0)
+
+
 def progress() -> Callable[[str], None]:
     """Words about long work, on standard error."""
     return lambda text: click.echo(text, err=True)
--- a/stepknot/config/settings.py
+++ b/stepknot/config/settings.py
@@ -117,7 +117,7 @@
 
 TOP = {
     "name": Key(text, "stepknot"), "zone": Key(text, ""), "listen": Key(address, ("127.0.0.1", 9200)),
-    "seed": Key(count(0, 2**63), 0), "instances": Key(count()),
+    "seed": Key(count(0, 2**63), 0), "instances": Key(count()), "tick": Key(duration, 0.01),
 }
 FLEET = {"cells": Key(count()), "reach": Key(count(), 1), "parts_per_call": Key(count(), 16),
          "list": Key(text), "list_every": Key(duration, 0.2)}
@@ -260,7 +260,7 @@
     settings = api.Settings(
         instances=plain["instances"], cells=fleet["cells"], reach=fleet["reach"],
         parts_per_call=fleet["parts_per_call"], classes=classes,
-        rules=api.Rules(**rules), limits=api.Limits(**limits), tick=0.005,
+        rules=api.Rules(**rules), limits=api.Limits(**limits), tick=plain["tick"],
     )
     return Config(
         name=plain["name"], zone=plain["zone"], listen=plain["listen"], seed=plain["seed"],
--- a/stepknot/lab/box.py
+++ b/stepknot/lab/box.py
@@ -173,7 +173,7 @@
         """Begin to serve; a cold start counts from here."""
         self.started = self.loop.clock()
         self.listen()
-        self.tap.note("up", cold=self.plan.cold)
+        self.tap.note("up", cold=self.plan.cold, work=self.plan.work, cores=self.plan.cores)
 
     def listen(self) -> None:
         self.server = Server(self.loop, self.plan.host, self.plan.port, self.handle, self.limits, self.http_error)
@@ -229,6 +229,7 @@
             return self.take_copies(orjson.loads(request.body))
         if request.path == "/_log":
             return Response(200, b"\n".join(map(orjson.dumps, self.log)))
+        self.note_call(request, agent)
         if self.fault("hang", agent):
             self.tap.note("hung", agent=agent)
             yield Signal().park
@@ -246,6 +247,22 @@
             return None
         return (yield from self.spoil(response, connection, agent))
 
+    def note_call(self, request: Request, agent: str) -> None:
+        """What came, as soon as it came: before any fault or wait."""
+        if self.tap.file is None or request.method != "POST":
+            return
+        call, lines = request.headers.get("x-opaque-id", ""), request.body.split(b"\n")
+        if request.path == "/_msearch":
+            pairs = [(orjson.loads(head), orjson.loads(body)) for head, body in zip(lines[:-1:2], lines[1::2],
+                                                                                   strict=True)]
+            parts = [[head["index"], shard_number(head), body.get("stats", [""])[0],
+                      "fetch" if "ids" in body["query"] else "query"] for head, body in pairs]
+            self.tap.note("call", call=call, agent=agent, parts=parts)
+        elif request.path == "/_bulk":
+            heads = [orjson.loads(line) for line in lines if line]
+            actions = [next(iter(line)) for line in heads if len(line) == 1 and next(iter(line)) in WRITES]
+            self.tap.note("write", token=call, agent=agent, actions=actions)
+
     def spoil(self, response: Response, connection: Connection, agent: str) -> Steps:
         """The faults that strike a reply."""
         response.headers.append(self.load_header())
@@ -274,8 +291,6 @@
         lines = [orjson.loads(line) for line in request.body.split(b"\n") if line]
         pairs = list(zip(lines[::2], lines[1::2], strict=True))
         call = request.headers.get("x-opaque-id", "")
-        shards = [[head["index"], shard_number(head)] for head, _ in pairs]
-        self.tap.note("call", call=call, agent=agent, parts=shards)
         if self.fault("fail_fast", agent):
             self.tap.note("replied", call=call, served=0)
             failed = {"error": {"type": "box", "reason": "failing fast"}, "status": 500}
@@ -323,6 +338,7 @@
         shard = self.shards.get((head["index"], number))
         if shard is None:
             return {"error": {"type": "index_not_found_exception", "reason": f"no shard {number} here"}, "status": 404}
+        body.pop("stats", None)
         extra: dict[str, Any] = {key: body.pop(key) for key in ("version", "seq_no_primary_term") if key in body}
         try:
             found = shard.search(parse_search(body, {}, 1_000_000), extra)
@@ -336,8 +352,6 @@
     def bulk(self, request: Request, connection: Connection, agent: str) -> Steps:
         lines = [orjson.loads(line) for line in request.body.split(b"\n") if line]
         token = request.headers.get("x-opaque-id", "")
-        actions = [next(iter(line)) for line in lines if len(line) == 1 and next(iter(line)) in WRITES]
-        self.tap.note("write", token=token, agent=agent, actions=actions)
         if self.fault("fail_fast", agent):
             return self.error(503, "failing fast")
         self.weigh(self.plan.work)
@@ -352,7 +366,7 @@
             self.tap.note("repeat_dropped", token=token)
             return bulk_response(seen[1])
         items, entries = self.apply(lines)
-        self.tap.note("ran", token=token, actions=actions)
+        self.tap.note("ran", token=token)
         self.remember(token, items)
         yield from self.copy(entries, token, items)
         return bulk_response(items)
--- a/stepknot/search/request.py
+++ b/stepknot/search/request.py
@@ -178,9 +178,13 @@
         for key in sort]
 
 
-def shard_body(search: Search, timeout: float, fetch: bool) -> dict[str, Any]:
-    """One shard's part of the first step; with `fetch` the documents come in the same step."""
+def shard_body(search: Search, timeout: float, fetch: bool, name: str = "") -> dict[str, Any]:
+    """One shard's part of the first step; with `fetch` the documents come in the same step.
+
+    `name` goes along as a statistics group: it lets one query be followed to the boxes.
+    """
     body: dict[str, Any] = {
+        "stats": [name],
         "query": search.query_body or {"match_all": {}}, "size": search.start + search.size,
         "_source": source_body(search.source) if fetch else False, "timeout": f"{max(int(timeout * 1000), 1)}ms",
         "track_total_hits": search.total,
@@ -196,7 +200,7 @@
     return body
 
 
-def fetch_body(search: Search, ids: list[str]) -> dict[str, Any]:
+def fetch_body(search: Search, ids: list[str], name: str = "") -> dict[str, Any]:
     """The second step: the documents of one shard's hits."""
-    return {"query": {"ids": {"values": ids}}, "size": len(ids), "_source": source_body(search.source),
+    return {"stats": [name], "query": {"ids": {"values": ids}}, "size": len(ids), "_source": source_body(search.source),
             "track_total_hits": False}
