--- a/stepknot/broker/core.py
+++ b/stepknot/broker/core.py
@@ -146,7 +146,6 @@
         """The client hung up: nothing is answered, what is out is called off."""
         if self.held.get(ask.query_id) is ask:
             self.post(api.QueryGone(ask.query_id))
-            self.counts["gone"] += 1
             self.finish(ask, None)
 
     def take_list(self, event: api.ListReceived) -> None:
--- a/stepknot/lab/fleet.py
+++ b/stepknot/lab/fleet.py
@@ -46,7 +46,7 @@
   fall_multiple = 4
   fall_time     = "1s"
   extra_window  = "10s"
-  extra_floor   = 20
+  extra_floor   = {extra_floor}
   extra_share   = 0.2
 }}
 
@@ -98,7 +98,7 @@
 
 def settings_text(**given: Any) -> str:
     values = {"name": "demo", "zone": "a", "port": 0, "instances": 2, "cells": 4, "shards": 12, "aim": 1.0,
-              "deadline": 3.0, "cold_time": 10, "index": corpus.INDEX} | given
+              "deadline": 3.0, "cold_time": 10, "extra_floor": 20, "index": corpus.INDEX} | given
     values["fields"] = "".join(f'  field "{name}" {{\n    type = "{kind}"\n  }}\n'
                                for name, kind in corpus.FIELDS.items())
     return SETTINGS.format(**values)
--- /dev/null
+++ b/tests/broker/scripted.py
@@ -0,0 +1,277 @@
+"""A broker in this process whose boxes are scripted byte by byte: what comes in, what goes out, and when."""
+
+from __future__ import annotations
+
+import socket
+import threading
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from stepknot.broker.service import Service
+from stepknot.cli.serve import make
+from stepknot.config.settings import load
+from stepknot.lab.fleet import settings_text
+
+WAIT = 10.0  # seconds for what must happen; nothing here waits that long unless it fails
+Script = Callable[["Call"], None]
+
+
+@dataclass
+class Call:
+    """One request as a box's socket got it."""
+
+    box: ScriptedBox
+    sock: socket.socket
+    head: str
+    body: bytes
+
+    @property
+    def parts(self) -> list[tuple[dict[str, Any], dict[str, Any]]]:
+        lines = [orjson.loads(line) for line in self.body.split(b"\n") if line]
+        return list(zip(lines[::2], lines[1::2], strict=True))
+
+    @property
+    def probe(self) -> bool:
+        return self.head.startswith("HEAD")
+
+    @property
+    def write(self) -> bool:
+        return self.head.startswith("POST /_bulk")
+
+    @property
+    def token(self) -> str:
+        return next(line[13:] for line in self.head.split("\r\n") if line.lower().startswith("x-opaque-id: "))
+
+    def send(self, data: bytes) -> None:
+        self.sock.sendall(data)
+
+    def reply(self, body: Any, status: int = 200) -> None:
+        data = orjson.dumps(body)
+        self.send(f"HTTP/1.1 {status} X\r\ncontent-length: {len(data)}\r\n\r\n".encode() + data)
+
+    def serve(self) -> None:
+        """A sound answer: each shard holds one document, `s<shard>`."""
+        if self.probe:
+            self.send(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+        elif self.write:
+            self.reply(bulk_answer(self.body))
+        else:
+            self.reply({"took": 0, "responses": [shard_answer(*pair) for pair in self.parts]})
+
+    def reset(self) -> None:
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+        self.sock.close()
+
+
+def shard_answer(head: dict[str, Any], body: dict[str, Any]) -> dict[str, Any]:
+    shard = int(head["preference"].partition(":")[2])
+    wanted = body["query"].get("ids", {}).get("values")
+    name = wanted[0] if wanted else f"s{shard}"
+    hit: dict[str, Any] = {"_index": head["index"], "_id": name, "_score": 1.0}
+    if "sort" in body:
+        hit["sort"] = [shard]
+    if body.get("_source") is not False:
+        hit["_source"] = {"name": name}
+    hits = {"total": {"value": 1, "relation": "eq"}, "max_score": 1.0, "hits": [hit]}
+    return {"took": 0, "timed_out": False, "status": 200, "hits": hits,
+            "_shards": {"total": 1, "successful": 1, "skipped": 0, "failed": 0}}
+
+
+def bulk_answer(body: bytes) -> dict[str, Any]:
+    line = orjson.loads(body.split(b"\n")[0])
+    ((action, meta),) = line.items()
+    item = {**meta, "_version": 1, "result": "created", "_seq_no": 0, "_primary_term": 1, "status": 201,
+            "_shards": {"total": 1, "successful": 1, "failed": 0}}
+    return {"took": 0, "errors": False, "items": [{action: item}]}
+
+
+class ScriptedBox:
+    """Listens on a port of its own; each request runs the script in force when it came."""
+
+    def __init__(self, script: Script | None = None) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.port: int = self.listener.getsockname()[1]
+        self.script: Script = script or Call.serve
+        self.calls: list[Call] = []
+        self.socks: list[socket.socket] = []
+        self.changed = threading.Condition()
+        self.closed_seen = 0  # connections that the broker ended
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.port}"
+
+    def accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                return
+            self.socks.append(sock)
+            threading.Thread(target=self.converse, args=(sock,), daemon=True).start()
+
+    def converse(self, sock: socket.socket) -> None:
+        data = b""
+        try:
+            while True:
+                while b"\r\n\r\n" not in data:
+                    chunk = sock.recv(65536)
+                    if not chunk:
+                        raise ConnectionError
+                    data += chunk
+                head, _, data = data.partition(b"\r\n\r\n")
+                text = head.decode()
+                length = next((int(line[15:]) for line in text.split("\r\n")
+                               if line.lower().startswith("content-length:")), 0)
+                while len(data) < length:
+                    data += sock.recv(1 << 20)
+                call = Call(self, sock, text, data[:length])
+                data = data[length:]
+                with self.changed:
+                    self.calls.append(call)
+                    self.changed.notify_all()
+                self.script(call)
+        except OSError:
+            with self.changed:
+                self.closed_seen += 1
+                self.changed.notify_all()
+
+    def work(self) -> list[Call]:
+        return [call for call in self.calls if not call.probe]
+
+    def wait(self, fits: Callable[[ScriptedBox], bool]) -> None:
+        with self.changed:
+            assert self.changed.wait_for(lambda: fits(self), WAIT), "it did not happen in time"
+
+    def close(self) -> None:
+        self.listener.close()
+        for sock in self.socks:
+            sock.close()
+
+
+@dataclass
+class Running:
+    """The broker under test, its boxes and its list."""
+
+    service: Service
+    boxes: list[ScriptedBox]
+    folder: Path
+    cells: list[int]
+    thread: threading.Thread
+    logged: list[tuple[str, dict[str, Any]]] = field(default_factory=list)
+
+    def connect(self) -> socket.socket:
+        return socket.create_connection(("127.0.0.1", self.service.server.port), timeout=WAIT)
+
+    def call(self, what: Callable[[], Any]) -> Any:
+        """Run on the broker's loop, and hand back what came of it."""
+        done = threading.Event()
+        result: list[Any] = []
+        self.service.loop.call_at(0.0, lambda: (result.append(what()), done.set()))  # type: ignore[func-returns-value]
+        self.service.loop.network.wake()
+        assert done.wait(WAIT)
+        return result[0]
+
+    def write_list(self, states: dict[int, str] | None = None, gone: set[int] | None = None) -> None:
+        rows = [{"address": box.address, "cell": self.cells[number], "zone": "a",
+                 "state": (states or {}).get(number, "live")}
+                for number, box in enumerate(self.boxes) if number not in (gone or set())]
+        path = self.folder / "boxes.json"
+        path.with_suffix(".new").write_bytes(orjson.dumps({"boxes": rows}))
+        path.with_suffix(".new").rename(path)
+
+
+@contextmanager
+def broker(folder: Path, cells: list[int], shards: int = 2, **settings: Any) -> Iterator[Running]:
+    """One broker and a scripted box for each entry of `cells`."""
+    boxes = [ScriptedBox() for _ in cells]
+    path = folder / "broker.hcl"
+    path.write_text(settings_text(port=0, instances=1, cells=max(cells) + 1, shards=shards, **settings))
+    running = Running(None, boxes, folder, cells, None)  # type: ignore[arg-type]
+    running.write_list()
+    service = make(load(path), lambda event, **fields: running.logged.append((event, fields)))
+    running.service = service
+    running.thread = threading.Thread(target=service.loop.run, daemon=True)
+    running.thread.start()
+    try:
+        yield running
+    finally:
+        service.loop.call_at(0.0, service.loop.stop)
+        service.loop.network.wake()
+        running.thread.join(WAIT)
+        for box in boxes:
+            box.close()
+
+
+@dataclass
+class Answer:
+    status: int
+    headers: dict[str, str]
+    body: Any
+
+
+class Client:
+    """A raw HTTP client on one connection: what it reads is what the socket gave."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        self.data = b""
+
+    def ask(self, method: str, path: str, body: Any = None, headers: str = "") -> None:
+        data = b"" if body is None else body if isinstance(body, bytes) else orjson.dumps(body)
+        head = f"{method} {path} HTTP/1.1\r\nhost: x\r\n{headers}content-length: {len(data)}\r\n\r\n"
+        self.sock.sendall(head.encode() + data)
+
+    def read(self) -> Answer:
+        while b"\r\n\r\n" not in self.data:
+            self.more()
+        head, _, rest = self.data.partition(b"\r\n\r\n")
+        lines = head.decode().split("\r\n")
+        headers = {name.lower(): value for name, _, value in (line.partition(": ") for line in lines[1:])}
+        length = int(headers["content-length"])
+        pieces, size = [rest], len(rest)
+        while size < length:
+            pieces.append(self.sock.recv(1 << 20))
+            size += len(pieces[-1])
+            if not pieces[-1]:
+                raise EOFError
+        rest = b"".join(pieces)
+        self.data = rest[length:]
+        status = int(lines[0].split(" ")[1])
+        body = rest[:length]
+        return Answer(status, headers, orjson.loads(body) if "json" in headers["content-type"] and body else body)
+
+    def more(self) -> None:
+        chunk = self.sock.recv(1 << 20)
+        if not chunk:
+            raise EOFError
+        self.data += chunk
+
+    def rest(self) -> bytes:
+        """All that still comes until the broker closes."""
+        try:
+            while True:
+                self.more()
+        except EOFError:
+            return self.data
+        except ConnectionResetError:
+            return self.data
+
+    def silent_for(self, seconds: float) -> bool:
+        self.sock.settimeout(seconds)
+        try:
+            return not self.sock.recv(1)
+        except TimeoutError:
+            return True
+        finally:
+            self.sock.settimeout(WAIT)
+
+    def __call__(self, method: str, path: str, body: Any = None, headers: str = "") -> Answer:
+        self.ask(method, path, body, headers)
+        return self.read()
