--- a/stepknot/discovery/boxlist.py
+++ b/stepknot/discovery/boxlist.py
@@ -31,6 +31,8 @@
     if path.suffix == ".json":
         try:
             given = orjson.loads(text)["boxes"]
+            if not isinstance(given, list):
+                raise TypeError("boxes is no list")
         except (ValueError, KeyError, TypeError) as error:
             raise ConfigError([Problem(str(path), 1, "boxes", f"expected a JSON list of boxes: {error}")]) from None
         rows = [(0, each) for each in given]
@@ -48,7 +50,7 @@
             if entry.server in entries:
                 raise Bad(f"{entry.server} is listed twice")
             entries[entry.server] = entry
-        except Bad as error:
+        except (Bad, TypeError, ValueError) as error:
             problems.append(Problem(str(path), line, f"boxes[{place}]", str(error)))
     if problems:
         raise ConfigError(problems)
--- /dev/null
+++ b/tests/net/test_loop.py
@@ -0,0 +1,182 @@
+"""The loop, with a clock and a network of the test's own; listeners that run out of descriptors."""
+
+from __future__ import annotations
+
+import errno
+import random
+import socket
+from typing import Any
+
+import pytest
+
+from stepknot.net.http import HttpError, HttpLimits, ServerParser
+from stepknot.net.loop import Coroutine, Expired, Link, Loop, Network, Signal
+
+
+class Clock:
+    """Stands still but for what the loop waits."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+class Waiting(Network):
+    """A network on which nothing happens: each poll lets the time pass."""
+
+    def __init__(self, clock: Clock) -> None:
+        super().__init__()
+        self.clock = clock
+
+    def poll(self, timeout: float) -> list[tuple[int, int]]:
+        self.clock.now += timeout
+        return []
+
+
+def virtual() -> Loop:
+    clock = Clock()
+    return Loop(clock, random.Random(1), Waiting(clock))
+
+
+def test_sleeps_run_in_the_order_of_their_ends_on_a_virtual_clock() -> None:
+    loop, seen = virtual(), []
+
+    def sleeper(name: str, seconds: float) -> Coroutine:
+        yield from loop.sleep(seconds)
+        seen.append((name, round(loop.now - 100, 6)))
+        if len(seen) == 3:
+            loop.stop()
+
+    for name, seconds in (("c", 3600.0), ("a", 1.5), ("b", 90.0)):
+        loop.spawn(sleeper(name, seconds))
+    loop.run()
+    assert seen == [("a", 1.5), ("b", 90.0), ("c", 3600.0)]
+
+
+def test_a_signal_set_before_or_after_wakes_its_waiter_once() -> None:
+    loop, got = virtual(), []
+    early, late = Signal(), Signal()
+    early.set(1)
+
+    def waiter() -> Coroutine:
+        got.append((yield from early.wait()))
+        got.append((yield from late.wait()))
+        loop.stop()
+
+    loop.spawn(waiter())
+    loop.call_later(5.0, lambda: late.set(2))
+    loop.call_later(6.0, lambda: late.set(3))
+    loop.run()
+    assert got == [1, 2]
+
+
+def test_an_error_of_a_task_is_loud() -> None:
+    loop = virtual()
+
+    def failing() -> Coroutine:
+        yield from loop.sleep(1.0)
+        raise RuntimeError("broken")
+
+    loop.spawn(failing())
+    with pytest.raises(RuntimeError, match="broken"):
+        loop.run()
+
+
+def test_what_was_written_arrives_whole_though_the_reader_is_slow() -> None:
+    loop = Loop(rng=random.Random(1))
+    one, two = socket.socketpair()
+    for sock in (one, two):
+        sock.setblocking(False)
+    data = random.Random(2).randbytes(3_000_000)
+    got = bytearray()
+
+    def write(link: Link) -> Coroutine:
+        yield from link.send(data)
+        link.close()
+
+    def read(link: Link) -> Coroutine:
+        while chunk := (yield from link.recv(10_000)):
+            got.extend(chunk)
+        loop.stop()
+
+    loop.spawn(write(Link(loop, one)))
+    loop.spawn(read(Link(loop, two)))
+    loop.run()
+    assert bytes(got) == data
+
+
+def test_a_read_that_takes_too_long_expires() -> None:
+    loop = Loop(rng=random.Random(1))
+    one, two = socket.socketpair()
+    two.setblocking(False)
+    seen = []
+
+    def read() -> Coroutine:
+        try:
+            yield from Link(loop, two).recv(10, 0.02)
+        except Expired:
+            seen.append("expired")
+        loop.stop()
+
+    loop.spawn(read())
+    loop.run()
+    one.close()
+    assert seen == ["expired"]
+
+
+class Exhausted:
+    """A listening socket whose accept fails a few times for want of descriptors."""
+
+    def __init__(self, sock: socket.socket, code: int, times: int) -> None:
+        self.sock, self.code, self.left = sock, code, times
+        self.tries = 0
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.sock, name)
+
+    def accept(self) -> Any:
+        self.tries += 1
+        if self.left:
+            self.left -= 1
+            raise OSError(self.code, "no more")
+        return self.sock.accept()
+
+
+@pytest.mark.parametrize("code", [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ECONNABORTED])
+def test_a_listener_that_runs_out_rests_and_goes_on(code: int) -> None:
+    loop, accepted = Loop(rng=random.Random(1)), []
+    real = loop.network.listen("127.0.0.1", 0)
+    hurt = Exhausted(real, code, 3)
+    loop.network.listen = lambda host, port, backlog=0: hurt  # type: ignore[assignment,method-assign,misc,return-value]
+    listener = loop.listen("127.0.0.1", 0, lambda link, peer: (accepted.append(peer), loop.stop()) and None)
+    client = socket.create_connection(listener.address)
+    loop.run()
+    assert len(accepted) == 1 and hurt.tries <= 6
+    assert listener.rests == (0 if code == errno.ECONNABORTED else 3)
+    client.close()
+
+
+def test_requests_cut_at_any_byte_are_parsed_the_same() -> None:
+    data = (b"POST /a?x=1 HTTP/1.1\r\nhost: h\r\ncontent-length: 5\r\n\r\nhello"
+            b"GET /b HTTP/1.1\r\nhost: h\r\n\r\n")
+    for cut in range(len(data)):
+        parser = ServerParser(HttpLimits())
+        for piece in (data[:cut], data[cut:]):
+            if piece:
+                parser.feed(piece)
+        assert [(each.method, each.path, each.body) for each in parser.requests] == [
+            ("POST", "/a", b"hello"), ("GET", "/b", b"")]
+
+
+def test_random_bytes_are_an_error_or_nothing_never_a_crash() -> None:
+    rng = random.Random(3)
+    for _ in range(2000):
+        parser = ServerParser(HttpLimits(header=200, url=50, body=100))
+        data = rng.choice([b"GET / HTTP/1.1\r\n", b"POST /x HTTP/1.1\r\ncontent-length: 3\r\n", b""]) + bytes(
+            rng.choice(b"\r\n: abcGET/1.\x00\xff") for _ in range(rng.randrange(80)))
+        try:
+            parser.feed(data)
+        except HttpError as error:
+            assert 400 <= error.status < 500
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,47 @@
+"""Arrows between the packages run one way, downwards."""
+
+import ast
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent / "stepknot"
+# From the top. A package imports from those below it only; the laboratory imports all but the command line.
+ORDER = ["cli", "lab", "fronts", "broker", "discovery", "boxes", "search", "config", "net", "library"]
+LIBRARY = {"logic", "records", "interface", "benchlink", "__init__"}
+
+
+def layer(module: str) -> str:
+    head = module.removeprefix("stepknot").lstrip(".").partition(".")[0]
+    return "library" if head in LIBRARY or not head else head
+
+
+def imports(path: Path) -> set[str]:
+    found = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.ImportFrom) and node.module and node.module.startswith("stepknot"):
+            found |= {f"{node.module}.{each.name}" if node.module == "stepknot" else node.module
+                      for each in node.names}
+        elif isinstance(node, ast.Import):
+            found |= {each.name for each in node.names if each.name.startswith("stepknot")}
+    return found
+
+
+def test_arrows_run_downwards() -> None:
+    wrong = []
+    for path in ROOT.rglob("*.py"):
+        own = path.relative_to(ROOT).parts
+        mine = own[0] if len(own) > 1 else "library"
+        if own == ("__main__.py",):
+            continue
+        for module in imports(path):
+            other = layer(module.replace("stepknot.__version__", "stepknot"))
+            if ORDER.index(other) < ORDER.index(mine):
+                wrong.append(f"{'/'.join(own)} imports {module}")
+    assert not wrong
+
+
+def test_the_decision_library_needs_the_standard_library_only() -> None:
+    for name in LIBRARY:
+        for node in ast.walk(ast.parse((ROOT / f"{name}.py").read_text())):
+            if isinstance(node, ast.ImportFrom):
+                assert layer(node.module or "") == "library" or not (node.module or "").startswith("stepknot")
+                assert (node.module or "").partition(".")[0] not in ("orjson", "httptools", "click", "hcl2", "mmh3")
