A turn of the loop is sliced: huge replies at once no longer hold up timers and answers

Change: tasks due beyond 25 ms of a turn wait for the next one, so timers fire and answers leave in between; slow turns are logged with their processor time. The test's 0.3 s of work let a timer wait for all of it before. Also: 100-continue, a timeout of 0 is told, tenants in the settings, pages on the broker.

--- a/stepknot/broker/core.py
+++ b/stepknot/broker/core.py
@@ -113,6 +113,7 @@
         self.expiries: dict[float, list[Attempt]] = {}  # by the moment when their waits end
         self.counts: Counter[str] = Counter()
         self.class_counts: Counter[tuple[str, str]] = Counter()
+        self.tenant_counts: Counter[tuple[str, str]] = Counter()  # of those in the settings, the rest together
         self.times: dict[str, deque[float]] = {}
         self.decide_time = 0.0
         loop.turn_hooks.append(self.turn)
@@ -353,6 +354,7 @@
         ending = result.status.value if result is not None else "gone"
         self.counts[ending] += 1
         self.class_counts[ask.class_name, ending] += 1
+        self.tenant_counts[ask.tenant, ending] += 1
         if result is not None and result.status is Status.ANSWERED and not result.whole:
             self.counts["partial"] += 1
         took = self.loop.now - ask.arrived
--- a/stepknot/broker/queries.py
+++ b/stepknot/broker/queries.py
@@ -88,7 +88,7 @@
 
     def time_left(self, class_name: str, client: Client) -> float:
         deadline = self.core.settings.classes[class_name].deadline
-        return min(deadline, client.seconds) if client.seconds else deadline
+        return deadline if client.seconds is None else min(deadline, client.seconds)
 
     def run(self, ask: Ask, hang_up: Any) -> Steps:
         """Hand it in and wait for its end; `hang_up` is told whom to call when the client goes."""
--- a/stepknot/broker/service.py
+++ b/stepknot/broker/service.py
@@ -37,6 +37,9 @@
         self.config, self.log = config, log
         chance = random.Random(config.seed if seed is None else seed) if config.seed or seed else random.Random()
         self.loop = Loop(clock, chance, on_error=self.on_task_error)
+        # Little processor time in a long turn: the machine is busy. Much of it: this broker is, and with what is below.
+        self.loop.on_slow_turn = lambda took, cpu: log(
+            "slow_turn", took=round(took, 3), cpu=round(cpu, 3), held=len(self.core.held), out=len(self.core.out))
         limits = config.settings.limits
         self.name = f"{config.name}@{config.listen[0]}:{config.listen[1]}"
         self.pool = Pool(self.loop, config.connections, config.connect_timeout, limits.idle_connection, config.reply)
@@ -104,7 +107,11 @@
         for key, count in core.counts.items():
             if key.startswith("ended_"):
                 attempts.add_metric([key.removeprefix("ended_")], count)
-        found += [queries, attempts]
+        tenants = CounterMetricFamily("stepknot_tenant_queries", "Queries by tenant and ending",
+                                      labels=["tenant", "ending"])
+        for (name, ending), count in core.tenant_counts.items():
+            tenants.add_metric([name, ending], count)
+        found += [queries, attempts, tenants]
         for name, value, text in (
             ("parts", core.counts["parts"], "Parts taken"), ("calls", core.counts["calls"], "Calls sent to boxes"),
             ("probes", core.counts["probes"], "Questions sent to boxes"),
--- a/stepknot/config/settings.py
+++ b/stepknot/config/settings.py
@@ -152,6 +152,7 @@
     "operations": Key(some_of(*OPERATIONS), ()),
 }
 INDEX = {"shards": Key(count(1, 1024)), "routing_shards": Key(count(1, 65536), 0)}
+TENANT = {"share": Key(number(0, 1))}
 FIELD = {"type": Key(one_of(*FIELD_TYPES))}
 
 
@@ -189,6 +190,7 @@
     held: int
     bulk: int
     searches: int
+    tenants: dict[str, float] = field(default_factory=dict)  # share of the traffic that each was promised
 
 
 def load(path: Path) -> Config:
@@ -235,7 +237,7 @@
 def build(top: Block, file: str, folder: Path) -> Config:
     checker = Checker(file)
     single: dict[str, Block] = {}
-    named: dict[str, list[Block]] = {"class": [], "index": []}
+    named: dict[str, list[Block]] = {"class": [], "index": [], "tenant": []}
     for block in top.blocks:
         if block.kind in named and len(block.labels) == 1:
             named[block.kind].append(block)
@@ -244,7 +246,7 @@
                 checker.wrong(block.line, block.kind, "given twice")
             single[block.kind] = block
         else:
-            known = 'fleet, rules, limits, boxes, http, request, class "NAME", index "NAME"'
+            known = 'fleet, rules, limits, boxes, http, request, class "NAME", index "NAME", tenant "NAME"'
             checker.wrong(block.line, " ".join([block.kind, *block.labels]), f"unknown block; known: {known}")
     plain = checker.read(top, TOP, "")
     fleet = checker.read(single.get("fleet"), FLEET, "fleet.")
@@ -255,6 +257,10 @@
     request = checker.read(single.get("request"), REQUEST, "request.")
     classes, operations = read_classes(checker, named["class"])
     indices = read_indices(checker, named["index"])
+    tenants = {block.labels[0]: checker.read(block, TENANT, f"tenant.{block.labels[0]}.")["share"]
+               for block in named["tenant"]}
+    if sum(share or 0.0 for share in tenants.values()) > 1 + 1e-9:
+        checker.wrong(named["tenant"][-1].line, "tenant", "expected shares that add up to 1 at the most")
     if checker.problems:
         raise ConfigError(sorted(checker.problems, key=lambda each: each.line))
     settings = api.Settings(
@@ -266,7 +272,8 @@
         name=plain["name"], zone=plain["zone"], listen=plain["listen"], seed=plain["seed"],
         list_file=folder / fleet["list"], list_every=fleet["list_every"], settings=settings,
         operations=operations, indices=indices, connections=boxes["connections"],
-        connect_timeout=boxes["connect_timeout"], reply=boxes["reply"], http=HttpLimits(**http), **request,
+        connect_timeout=boxes["connect_timeout"], reply=boxes["reply"], http=HttpLimits(**http),
+        tenants=tenants, **request,
     )
 
 
--- a/stepknot/fronts/search/app.py
+++ b/stepknot/fronts/search/app.py
@@ -113,7 +113,8 @@
         if not name.isascii() or not name.isprintable():
             name = ""
         self.queries.tokens += 1
-        return Client(seconds, headers.get(TENANT_HEADER, "")[:MOST_NAME],
+        tenant = headers.get(TENANT_HEADER, "")
+        return Client(seconds, tenant if tenant in self.config.tenants else "",  # a name that is not ours says nothing
                       name or f"{self.queries.boot}-q{self.queries.tokens}", headers.get(CLASS_HEADER, ""))
 
     def time_of(self, request: Request, body: Any) -> float | None:
@@ -122,6 +123,8 @@
                  body.get("timeout") if isinstance(body, dict) else None]
         times = [seconds for each in given if each is not None
                  and (seconds := seconds_of(each, "timeout")) is not None]
+        if 0.0 in times:
+            raise RequestError("[timeout] must be over 0: no answer could come in time")
         return min(times, default=None)
 
     def body(self, request: Request) -> Any:
--- a/stepknot/net/http.py
+++ b/stepknot/net/http.py
@@ -116,13 +116,14 @@
     """Fed bytes, it fills `requests`. After an HttpError it must not be fed again."""
 
     __slots__ = ("limits", "requests", "parser", "url", "headers", "pieces", "size", "header_size", "error",
-                 "started")
+                 "started", "expects")
 
     def __init__(self, limits: HttpLimits) -> None:
         self.limits = limits
         self.requests: deque[Request] = deque()
         self.parser: httptools.HttpRequestParser | None = None
         self.started = False  # a request has begun and is not whole
+        self.expects = False  # its sender waits for a word before it sends the body
         self.error: HttpError | None = None
 
     def feed(self, data: bytes) -> None:
@@ -169,6 +170,9 @@
         if key == "content-length" and int(self.headers[key] or 0) > self.limits.body:
             self.refuse(413, f"request body is over {self.limits.body} bytes")
 
+    def on_headers_complete(self) -> None:
+        self.expects = self.headers.get("expect", "").lower() == "100-continue"
+
     def on_body(self, body: bytes) -> None:
         self.size += len(body)
         if self.size > self.limits.body:
@@ -193,7 +197,7 @@
             self.headers, body, bool(self.parser.should_keep_alive()),
             self.parser.get_http_version() == "1.0",
         ))
-        self.started, self.pieces = False, []
+        self.started, self.expects, self.pieces = False, False, []
 
 
 class ClientParser:
--- a/stepknot/net/loop.py
+++ b/stepknot/net/loop.py
@@ -35,6 +35,8 @@
 ACCEPT_PAUSE = 0.05  # seconds for which a listener rests when descriptors or buffers run out
 ACCEPT_BATCH = 64  # connections accepted in a row before others have their turn
 OUT_OF = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
+SLICE = 0.025  # seconds of a turn after which tasks that are due wait for the next one
+SLOW_TURN = 0.1  # seconds: such a turn is told, with the processor time that it had
 LAG_BUCKETS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0)
 
 
@@ -187,6 +189,8 @@
         self.rng = rng or random.Random()
         self.network = network or Network()
         self.on_error = on_error or self.raise_error
+        self.cpu: Callable[[], float] = time.thread_time
+        self.on_slow_turn: Callable[[float, float], None] = lambda took, cpu: None
         self.now = clock()
         self.links: dict[int, Link] = {}
         self.timers: list[tuple[float, int, Timer]] = []  # a heap; the number keeps the order of equal times
@@ -253,29 +257,39 @@
         self.again = False
         ready = self.network.poll(wait)
         self.now = begun = self.clock()
+        cpu = self.cpu()
         for number, mask in ready:
             link = self.links.get(number)
             if link is not None:
                 link.on_event(mask)
-        self.run_due()
+        self.run_due(begun + SLICE)
         self.fire()
-        self.run_due()
+        self.run_due(begun + SLICE)
         for hook in self.turn_hooks:
             hook()
-        self.run_due()
-        self.note_lag(self.clock() - begun)
+        self.run_due(begun + SLICE)
+        took = self.clock() - begun
+        self.note_lag(took)
+        if took >= SLOW_TURN:
+            self.on_slow_turn(took, self.cpu() - cpu)
 
     def until_next(self) -> float:
         while self.timers and self.timers[0][2].what is None:
             heapq.heappop(self.timers)
         return min(max(self.timers[0][0] - self.clock(), 0.0), 1.0) if self.timers else 1.0
 
-    def run_due(self) -> None:
-        due = self.due
+    def run_due(self, until: float) -> None:
+        """Step tasks until none is due, or the turn's slice is over: the rest is for the next turn.
+
+        Guards timers and final answers against many long pieces of work that come at once, such as huge replies.
+        """
+        due, clock = self.due, self.clock
         while due:
             task, ticket, value, error = due.popleft()
             if not task.done and ticket == task.ticket:
                 task.step(value, error)
+                if clock() >= until:
+                    return
 
     def fire(self) -> None:
         timers, now = self.timers, self.now
--- a/stepknot/net/server.py
+++ b/stepknot/net/server.py
@@ -86,6 +86,9 @@
                     yield from self.serve_ready()
                     yield from self.refuse(error)
                     return
+                if parser.expects and parser.started:
+                    parser.expects = False
+                    yield from link.send(b"HTTP/1.1 100 Continue\r\n\r\n", server.limits.write)
                 if parser.started and not begun:
                     self.allow(server.limits.body_time)
             if not (yield from self.serve_ready()):
--- /dev/null
+++ b/stepknot/zones/policy.py
@@ -0,0 +1,297 @@
+"""What a broker decides about zones. It narrows the module's candidates; the module chooses among them by fewest out.
+
+Tiers: the own zone and those so near that the way is not felt are one; farther ones follow. While every zone is
+sound nothing else acts. Once one is not, each sound zone gets at most `spill` times what it had (`spill.py`), a
+returning one a growing share of what it had, a dark one trials only (`health.py`); what fits nowhere is refused before
+it is sent, by worth, with advice spread over time.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import defaultdict
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from stepknot.interface import Outcome, ServerEntry, ServerState
+from stepknot.zones.health import LEAST_STEP, Health
+from stepknot.zones.model import Change, State, ZoneSettings, ZoneView
+from stepknot.zones.spill import Rate, Spill
+
+SILENT = 5.0  # mean times of an answer after which a part called off at a silent box counts as lost
+MEAN_WEIGHT = 0.05  # of an answer in the mean time
+QUICKEST = 0.1  # of a question in a zone's way: the quickest lately, forgotten slowly
+LEAST_LEVEL = 0.05  # of what may be sent, for each level of worth: none is shut out
+OVER_SHARE = 0.5  # of its worth counts for a query of a tenant that has more than it was promised
+ADVICE = (0.5, 2.0)  # seconds: refused clients are spread over this, more widely the longer the way back
+MOST_CHANGES = 1000
+COUNTED = {Outcome.ERROR, Outcome.RESET, Outcome.NOT_CONNECTED}
+
+
+@dataclass(slots=True)
+class Zone:
+    """All that is kept of one zone."""
+
+    health: Health
+    spill: Spill
+    boxes: int = 0  # live by the list
+    known: int = 0  # live when it was last sound
+    way: float = 0.0  # seconds to it and back, the quickest lately; 0: not measured
+    tentative: float = 0.0  # parts that the module may place there in this turn
+
+
+@dataclass(slots=True)
+class Level:
+    """Queries of one worth for a part: how many parts a second, and what part of one is owed to the next."""
+
+    asked: Rate = field(default_factory=lambda: Rate(1.0))
+    owed: float = 0.0
+
+
+class Zones:
+    def __init__(self, settings: ZoneSettings, seed: int) -> None:
+        """The bounds have been derived (`model.derive`)."""
+        self.settings, self.bounds = settings, settings.bounds
+        self.rng = random.Random(seed)
+        self.zones: dict[str, Zone] = {}
+        self.zone_of: dict[str, str] = {}
+        self.answered: dict[str, float] = {}  # by box: when it last served
+        self.asked_rate = Rate(1.0)
+        self.levels: dict[float, Level] = {}
+        self.mean = 0.0  # seconds of an answer
+        self.changes: list[Change] = []
+        self.told: dict[str, State] = {}
+        self.shed_parts = 0.0
+        self.now = 0.0
+
+    def zone(self, name: str) -> Zone:
+        zone = self.zones.get(name)
+        if zone is None:
+            zone = self.zones[name] = Zone(Health(self.bounds, self.rng), Spill(self.bounds.history))
+            self.told[name] = State.SOUND
+        return zone
+
+    # --- what is seen
+
+    def take_list(self, now: float, entries: Iterable[ServerEntry]) -> None:
+        """All boxes listed now."""
+        self.advance(now)
+        counts: dict[str, int] = defaultdict(int)
+        self.zone_of = {}
+        for entry in entries:
+            self.zone_of[entry.server] = entry.zone
+            counts[entry.zone] += entry.state is ServerState.LIVE
+        self.answered = {box: at for box, at in self.answered.items() if box in self.zone_of}
+        for name in counts:
+            self.zone(name)
+        for name, zone in self.zones.items():
+            had, zone.boxes = zone.boxes, counts.get(name, 0)
+            if had and not zone.boxes:
+                zone.health.list_lost(self.now)
+            elif zone.boxes and not had:
+                zone.health.list_back(self.now)
+            if zone.health.state is State.SOUND:
+                zone.known = max(zone.boxes, zone.known) if self.disturbed() else zone.boxes
+        self.note_changes()
+
+    def sent(self, now: float, box: str) -> None:
+        self.advance(now)
+        name = self.zone_of.get(box)
+        if name is not None:
+            self.zone(name).spill.take(self.now, 1.0)
+
+    def ended(self, now: float, box: str, outcome: Outcome, elapsed: float) -> None:
+        """An attempt ended. Silence counts only of a box that served nothing since: another is merely slow."""
+        self.advance(now)
+        name = self.zone_of.get(box)
+        if name is None:
+            return
+        zone, begun = self.zone(name), self.now - elapsed
+        if outcome is Outcome.SERVED:
+            self.answered[box] = self.now
+            self.mean += (MEAN_WEIGHT if self.mean else 1.0) * (elapsed - self.mean)
+            zone.health.hear(self.now, box, True, zone.boxes)
+        elif outcome is Outcome.REJECTED:
+            zone.spill.turned_away(self.now)
+        elif outcome in COUNTED or self.was_silent(box, begun, outcome, elapsed):
+            zone.health.hear(self.now, box, False, zone.boxes)
+        self.note_changes()
+
+    def was_silent(self, box: str, begun: float, outcome: Outcome, elapsed: float) -> bool:
+        if self.answered.get(box, -math.inf) >= begun:
+            return False
+        return outcome is Outcome.TIMED_OUT or (
+            outcome is Outcome.CANCELLED and self.mean > 0 and elapsed >= SILENT * self.mean)
+
+    def probed(self, now: float, box: str, elapsed: float, served: bool) -> None:
+        """A question was answered: how far the zone is. It says nothing of its health."""
+        self.advance(now)
+        name = self.zone_of.get(box)
+        if name is not None and served:
+            zone = self.zone(name)
+            zone.way = elapsed if not zone.way or elapsed < zone.way else zone.way + QUICKEST * (elapsed - zone.way)
+
+    def advance(self, now: float) -> None:
+        """Time never goes back, whatever a caller's clock does; a jump ahead is one long step of nothing."""
+        if now <= self.now:
+            return
+        self.now = now
+        for zone in self.zones.values():
+            zone.health.tick(now)
+        if self.disturbed():
+            for zone in self.zones.values():
+                zone.spill.pause()
+        else:
+            for zone in self.zones.values():
+                zone.spill.remember(now)
+        self.note_changes()
+
+    def note_changes(self) -> None:
+        for name, zone in self.zones.items():
+            health = zone.health
+            if health.state is not self.told[name] and len(self.changes) < MOST_CHANGES:
+                self.changes.append(Change(name, self.told[name], health.state, health.why, {
+                    "failing": round(health.share_failing(self.now), 3), "samples": round(health.samples(self.now), 1),
+                    "boxes": float(zone.boxes), "relapses": float(health.relapses), "ramp": round(health.ramp, 3)}))
+            self.told[name] = health.state
+
+    def take_changes(self) -> list[Change]:
+        """Those since the last call."""
+        changes, self.changes = self.changes, []
+        return changes
+
+    # --- what follows
+
+    def disturbed(self) -> bool:
+        return any(zone.health.state is not State.SOUND for zone in self.zones.values())
+
+    def tier(self, name: str) -> int:
+        """0 is best. Named tiers come first; a zone that is not named is near or far by its measured way."""
+        for place, tier in enumerate(self.settings.tiers):
+            if name in tier:
+                return place
+        named = len(self.settings.tiers)
+        if name == self.settings.own or not self.settings.own or not self.settings.prefer_near:
+            return 0
+        zone = self.zones.get(name)
+        return named if zone is None or zone.way <= self.bounds.near else named + 1
+
+    def base(self, name: str) -> float:
+        """Parts a second that the zone had."""
+        zone = self.zone(name)
+        all_boxes = sum(max(each.known, each.boxes) for each in self.zones.values())
+        guess = self.asked_rate.now(self.now) * max(zone.known, zone.boxes) / max(all_boxes, 1)
+        return zone.spill.base(guess)
+
+    def allowed(self, name: str) -> float:
+        """Parts a second that it may get now."""
+        if not self.disturbed():
+            return math.inf
+        zone = self.zone(name)
+        health = zone.health
+        if health.state is State.SOUND:
+            return self.bounds.spill * self.base(name) * zone.spill.bearing(self.now)
+        least = 2 * LEAST_STEP / health.step_time()  # enough to learn from
+        if health.state is State.RETURNING:
+            return max(least, health.ramp * self.base(name))
+        return max(least, self.bounds.first * self.base(name))
+
+    def has_tokens(self, name: str) -> bool:
+        rate = self.allowed(name)
+        if rate == math.inf:
+            return True
+        zone = self.zone(name)
+        return zone.spill.fill(self.now, rate) - zone.tentative >= 1.0
+
+    def narrow(self, now: float, entries: Sequence[ServerEntry], safe: bool) -> list[int]:
+        """The places of those that may be chosen; none where nothing may be sent. `safe`: fit for a trial."""
+        self.advance(now)
+        by_zone: dict[str, list[int]] = defaultdict(list)
+        for place, entry in enumerate(entries):
+            by_zone[entry.zone].append(place)
+        if not self.disturbed():
+            return self.best_tier(by_zone)
+        states = {name: self.zone(name).health.state for name in by_zone}
+        if safe:
+            for name, places in by_zone.items():
+                if states[name] is State.DARK and self.zone(name).health.may_try(self.now):
+                    return places
+        # Most wanted: a returning zone that has room for more, so that it gets its share; then the sound ones.
+        returning = {name: places for name, places in by_zone.items()
+                     if states[name] is State.RETURNING and self.has_tokens(name)}
+        sound = {name: places for name, places in by_zone.items()
+                 if states[name] is State.SOUND and self.has_tokens(name)}
+        usable = {**sound, **returning}
+        if not usable and all(state is State.DARK for state in states.values()):
+            usable = {name: places for name, places in by_zone.items() if self.has_tokens(name)}  # the last copies
+        chosen = self.best_tier(usable)
+        zones = {entries[place].zone for place in chosen}
+        for name in zones:
+            self.zone(name).tentative += 1 / len(zones)
+        return chosen
+
+    def best_tier(self, by_zone: Mapping[str, list[int]]) -> list[int]:
+        if not by_zone:
+            return []
+        tiers = {name: self.tier(name) for name in by_zone}
+        best = min(tiers.values())
+        return sorted(place for name, places in by_zone.items() if tiers[name] == best for place in places)
+
+    def settle(self) -> None:
+        """The module's turn is over: what it placed has been told by `sent`."""
+        for zone in self.zones.values():
+            zone.tentative = 0.0
+
+    def admit(self, now: float, worth: float, parts: int, over_share: bool) -> float | None:
+        """None: go on. Else the query is shed, and comes back after so many seconds. `worth`: for a part."""
+        self.advance(now)
+        self.asked_rate.add(self.now, parts)
+        worth = max(worth * (OVER_SHARE if over_share else 1.0), 1e-9)
+        level_worth = 2 ** (round(2 * math.log2(worth)) / 2)  # few levels, whatever the number of parts
+        level = self.levels.setdefault(level_worth, Level())
+        level.asked.add(self.now, parts)
+        if not self.disturbed():
+            return None
+        share = self.share_of(level_worth)
+        level.owed = min(level.owed + share, 1.0)
+        if level.owed >= 1.0 - 1e-9:
+            level.owed -= 1.0
+            return None
+        self.shed_parts += parts
+        return self.advice()
+
+    def share_of(self, worth: float) -> float:
+        """Which share of the queries of this worth fits: the worthier levels come first, none is shut out."""
+        rates = {each: level.asked.now(self.now) for each, level in self.levels.items()}
+        capacity = sum(self.allowed(name) for name in self.zones)
+        if sum(rates.values()) <= capacity:
+            return 1.0
+        left = capacity * (1 - LEAST_LEVEL * len(rates))
+        for each in sorted(rates, reverse=True):
+            if each == worth:
+                fits = max(0.0, min(1.0, left / max(rates[each], 1e-9)))
+                return max(fits, min(1.0, LEAST_LEVEL * capacity / max(rates[each], 1e-9)))
+            left -= rates[each]
+        return 1.0
+
+    def advice(self) -> float:
+        """Seconds, spread so that those refused together do not come back together."""
+        least, most = ADVICE
+        waiting = max((zone.health.step_time() for zone in self.zones.values()
+                       if zone.health.state is not State.SOUND), default=0.0)
+        return self.rng.uniform(least, most + waiting)
+
+    # --- what is shown
+
+    def views(self, now: float) -> list[ZoneView]:
+        self.advance(now)
+        shown = []
+        ramps = {State.SOUND: 1.0, State.DARK: 0.0}
+        for name, zone in sorted(self.zones.items()):
+            health = zone.health
+            shown.append(ZoneView(
+                name, health.state, self.tier(name), zone.boxes, zone.spill.sent.now(self.now), self.base(name),
+                self.allowed(name), ramps.get(health.state, health.ramp), health.share_failing(self.now),
+                health.relapses, health.why))
+        return shown
--- /dev/null
+++ b/stepknot/zones/spill.py
@@ -0,0 +1,92 @@
+"""How much each zone may get: buckets of parts, filled at a multiple of what the zone had.
+
+What a zone had is this broker's own history of sending there while all zones were sound. Every broker is bound by a
+multiple of its own history, so the sum over brokers is bound by the same multiple of the sum, whatever each one's
+load: no agreement is needed. A broker without history (just restarted) takes the zone's part of the boxes times what
+it is asked for now: what it would have sent there, all being well.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+BURST = 1.0  # seconds of the rate that a bucket holds
+LEAST_BURST = 4.0  # parts: a zone with little traffic still takes a small query
+RATE_MEMORY = 1.0  # seconds over which the rate now is seen
+BACK_OFF, RECOVER = 0.9, 0.02  # what a zone is seen to bear: less by a tenth when it turns work away, more each second
+LEAST_BEAR = 0.5
+YOUNG = 5.0  # seconds of history without which the guess from the boxes' part stands in
+
+
+@dataclass(slots=True)
+class Rate:
+    """Events a second, as an exponential mean over `memory` seconds."""
+
+    memory: float
+    value: float = 0.0
+    at: float | None = None
+
+    def add(self, now: float, amount: float) -> None:
+        self.value = self.now(now) + amount / self.memory
+        self.at = now if self.at is None else max(now, self.at)
+
+    def now(self, now: float) -> float:
+        return 0.0 if self.at is None else self.value * math.exp(min(0.0, (self.at - now) / self.memory))
+
+
+@dataclass(slots=True)
+class Spill:
+    """One zone's bucket and history."""
+
+    history: float  # seconds
+    sent: Rate = field(default_factory=lambda: Rate(RATE_MEMORY))
+    had: float = 0.0
+    had_for: float = 0.0  # seconds of history behind it
+    had_at: float | None = None
+    bear: float = 1.0  # share of the bound that the zone is seen to bear
+    bear_at: float = 0.0
+    tokens: float = LEAST_BURST
+    tokens_at: float | None = None
+
+    def remember(self, now: float) -> None:
+        """All zones are sound: what is sent now is what it has. Called at every turn then."""
+        if self.had_at is not None:
+            passed = min(max(now - self.had_at, 0.0), self.history)
+            weight = 1 - math.exp(-passed / self.history)
+            if self.had_for < self.history:  # a short history is a plain mean
+                weight = max(weight, passed / max(self.had_for + passed, 1e-9))
+            self.had += weight * (self.sent.now(now) - self.had)
+            self.had_for += passed
+        self.had_at = now
+
+    def pause(self) -> None:
+        """Some zone is not sound: what is sent meanwhile is no measure."""
+        self.had_at = None
+
+    def base(self, guess: float) -> float:
+        """Parts a second that it had; a young history is filled in from the guess."""
+        trust = min(1.0, self.had_for / YOUNG)
+        return trust * self.had + (1 - trust) * guess
+
+    def turned_away(self, now: float) -> None:
+        """A box of it was full: it bears less than the bound."""
+        self.bear = max(LEAST_BEAR, self.bearing(now) * BACK_OFF)
+        self.bear_at = now
+
+    def bearing(self, now: float) -> float:
+        return min(1.0, self.bear + RECOVER * max(now - self.bear_at, 0.0))
+
+    def fill(self, now: float, rate: float) -> float:
+        """The tokens at this time, with the bucket filled at `rate` since the last call."""
+        most = max(rate * BURST, LEAST_BURST)
+        if self.tokens_at is None:
+            self.tokens = most
+        else:
+            self.tokens = min(most, self.tokens + rate * max(now - self.tokens_at, 0.0))
+        self.tokens_at = now
+        return self.tokens
+
+    def take(self, now: float, parts: float = 1.0) -> None:
+        self.sent.add(now, parts)
+        self.tokens -= parts
--- a/tests/broker/test_hard_cases.py
+++ b/tests/broker/test_hard_cases.py
@@ -446,6 +446,18 @@
     assert zipped.status == 200
 
 
+def test_a_sender_that_waits_for_a_word_gets_it(run: Running, client: Client) -> None:
+    client.sock.sendall(b"POST /reports/_search HTTP/1.1\r\nhost: x\r\nexpect: 100-continue\r\n"
+                        b"content-length: 11\r\n\r\n")
+    assert client.sock.recv(100) == b"HTTP/1.1 100 Continue\r\n\r\n"
+    client.sock.sendall(b'{"size": 1}')
+    assert client.read().status == 200
+
+
+def test_no_time_at_all_is_told(run: Running, client: Client) -> None:
+    assert client("POST", SEARCH + "?timeout=0ms").status == 400
+
+
 def test_slow_senders_are_told_and_closed(tmp_path: Path) -> None:
     with broker(tmp_path, [0], shards=1) as run:
         object.__setattr__(run.service.server.limits, "first_byte", 0.2)
--- a/tests/config/test_settings.py
+++ b/tests/config/test_settings.py
@@ -63,6 +63,8 @@
     assert len(problems(tmp_path, text)) >= 2
     (only,) = problems(tmp_path, "name = = 3\n")
     assert only.startswith("1: not HCL")
+    shares = 'tenant "a" {\n  share = 0.7\n}\ntenant "b" {\n  share = 0.6\n}\n'
+    assert "add up to 1" in problems(tmp_path, GOOD + shares)[0]
     assert "given twice" in problems(tmp_path, 'name = "a"\nname = "b"\n' + GOOD)[0]
 
 
--- a/tests/net/test_loop.py
+++ b/tests/net/test_loop.py
@@ -5,6 +5,7 @@
 import errno
 import random
 import socket
+import time
 from typing import Any
 
 import pytest
@@ -72,6 +73,26 @@
     assert got == [1, 2]
 
 
+def test_much_work_at_once_does_not_hold_up_a_timer() -> None:
+    loop = Loop(rng=random.Random(1))
+    lateness, done = [], []
+
+    def work() -> Coroutine:
+        until = time.thread_time() + 0.005
+        while time.thread_time() < until:
+            pass
+        done.append(1)
+        yield from ()
+
+    for _ in range(60):  # 0.3 s of it
+        loop.spawn(work())
+    due = loop.clock() + 0.03
+    loop.call_at(due, lambda: lateness.append(len(done)))
+    loop.call_at(due + 0.001, lambda: loop.call_later(1.0, loop.stop) and None)
+    loop.run()
+    assert lateness[0] < 30 and len(done) == 60
+
+
 def test_an_error_of_a_task_is_loud() -> None:
     loop = virtual()
 
