Zones: health, spill bound, eased way back; the module lets a caller narrow candidates

Need: when a zone is lost its load must not push the others over, and when it returns the boxes coming back must not be buried. stepknot/zones decides, free of I/O; it narrows what the module chooses among, which still takes the fewest out.

Departure in logic.py: three lines and a parameter; without a narrow nothing changes.

--- a/stepknot/broker/core.py
+++ b/stepknot/broker/core.py
@@ -22,10 +22,15 @@
 from stepknot.logic import Aggregator
 from stepknot.net.http import ClientParser, HttpError
 from stepknot.net.loop import Loop, Signal
+from stepknot.zones.policy import Zones
+from stepknot.zones.spill import Rate
 
 Accept = Callable[[Any], Any]  # what a part's payload is read by; raises ValueError where it is not an answer
 
 
+TENANT_MEMORY, TENANT_ROOM = 5.0, 1.1  # seconds over which a tenant's traffic is seen; over its share by a tenth
+
+
 class Status(Enum):
     ANSWERED = "answered"
     REFUSED = "refused"  # trying again is harmless
@@ -97,11 +102,13 @@
 class Core:
     def __init__(
         self, loop: Loop, settings: api.Settings, seed: int, pool: Pool, codec: Codec,
-        on_event: Callable[..., None], most_held: int = 4096, name: str = "",
+        on_event: Callable[..., None], most_held: int = 4096, name: str = "", zones: Zones | None = None,
+        promised: dict[str, float] | None = None,
     ) -> None:
         self.loop, self.settings, self.pool, self.codec = loop, settings, pool, codec
         self.on_event, self.most_held, self.name = on_event, most_held, name
-        self.module = Aggregator(settings, seed)
+        self.zones, self.promised = zones, promised or {}
+        self.module = Aggregator(settings, seed, zones.narrow if zones is not None else None)
         self.inbox: list[api.Event] = []
         self.held: dict[int, Ask] = {}
         self.pieces: dict[int, tuple[Ask, Piece]] = {}
@@ -115,6 +122,7 @@
         self.class_counts: Counter[tuple[str, str]] = Counter()
         self.tenant_counts: Counter[tuple[str, str]] = Counter()  # of those in the settings, the rest together
         self.times: dict[str, deque[float]] = {}
+        self.tenant_rates: dict[str, Rate] = {}
         self.decide_time = 0.0
         loop.turn_hooks.append(self.turn)
 
@@ -132,12 +140,34 @@
             self.counts["over_bound"] += 1
             ask.done.set(Result(Status.REFUSED, retry_after=self.settings.limits.max_retry_after))
             return
+        if self.zones is not None:
+            worth = self.settings.classes[ask.class_name].worth / max(len(ask.first), 1)
+            advice = self.zones.admit(self.loop.now, worth, len(ask.first), self.over_share(ask.tenant))
+            if advice is not None:
+                self.counts["shed"] += 1
+                self.class_counts[ask.class_name, "shed"] += 1
+                limits = self.settings.limits
+                ask.done.set(Result(Status.REFUSED, False, min(advice, limits.max_retry_after)
+                                    if limits.retry_after else 0.0))
+                return
         self.held[ask.query_id] = ask
         self.counts["queries"] += 1
         self.class_counts[ask.class_name, "taken"] += 1
         self.post(api.QueryArrived(ask.query_id, ask.query_id, ask.class_name, ask.deadline, ask.tenant, ask.key))
         self.add_pieces(ask, ask.first)
 
+    def over_share(self, tenant: str) -> bool:
+        """Whether the tenant asks for more of the traffic than it was promised."""
+        share = self.promised.get(tenant)
+        if share is None:
+            return False
+        now = self.loop.now
+        for name in self.promised:
+            self.tenant_rates.setdefault(name, Rate(TENANT_MEMORY))
+        self.tenant_rates[tenant].add(now, 1.0)
+        total = sum(rate.now(now) for rate in self.tenant_rates.values())
+        return self.tenant_rates[tenant].now(now) > share * total * TENANT_ROOM
+
     def add_pieces(self, ask: Ask, pieces: list[Piece]) -> None:
         for piece in pieces:
             self.last_id += 1
@@ -162,6 +192,9 @@
             else:
                 self.servers[entry.server] = entry
             self.on_event("box_listed", box=entry.server, state=entry.state.value, zone=entry.zone, cell=entry.cell)
+        if self.zones is not None:
+            self.zones.take_list(self.loop.now, self.servers.values())
+            self.tell_changes()
         self.post(event)
 
     def give_up_all(self) -> None:
@@ -183,6 +216,8 @@
         begun = self.loop.clock()
         actions = self.module.handle(self.loop.now, events)
         self.decide_time += self.loop.clock() - begun
+        if self.zones is not None:
+            self.zones.settle()
         sends: dict[str, list[Attempt]] = {}
         for action in actions:
             match action:
@@ -236,6 +271,8 @@
         piece.attempts += 1
         piece.reason = "no answer in time"
         self.counts["attempts"] += 1
+        if self.zones is not None:
+            self.zones.sent(self.loop.now, action.server)
         if attempt.number:
             self.counts["extra_attempts"] += 1
         self.out[piece.part_id, attempt.number] = attempt
@@ -299,6 +336,9 @@
         if self.out.pop((piece.part_id, attempt.number), None) is None:
             return
         self.counts[f"ended_{outcome.name.lower()}"] += 1
+        if self.zones is not None:
+            self.zones.ended(self.loop.now, attempt.server, outcome, self.loop.now - attempt.sent)
+            self.tell_changes()
         call = attempt.call
         if call is not None:
             call.live -= 1
@@ -307,6 +347,14 @@
         self.post(api.AttemptEnded(piece.part_id, attempt.number, attempt.server, outcome,
                                    self.loop.now - attempt.sent, load=load))
 
+    def tell_changes(self) -> None:
+        """A structured event for each zone that changed its state, with the evidence."""
+        if self.zones is not None and self.zones.changes:
+            for change in self.zones.take_changes():
+                self.counts["zone_changes"] += 1
+                self.on_event("zone_changed", zone=change.zone, old=change.old.value, new=change.new.value,
+                              why=change.why, **change.evidence)
+
     def probe(self, server: str) -> None:
         begun = self.loop.now
         self.counts["probes"] += 1
@@ -314,6 +362,8 @@
         def end(parser: ClientParser | None, outcome: api.Outcome, reason: str) -> None:
             timer.cancel()
             load = self.codec.load(parser.headers) if parser is not None else {}
+            if self.zones is not None:
+                self.zones.probed(self.loop.now, server, self.loop.now - begun, outcome is api.Outcome.SERVED)
             self.post(api.ProbeEnded(server, outcome, self.loop.now - begun, load))
 
         def expire() -> None:
--- a/stepknot/broker/service.py
+++ b/stepknot/broker/service.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import gc
+import math
 import random
 import signal
 import time
 from collections.abc import Callable
+from dataclasses import asdict
 from typing import Any
 
+import orjson
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, HistogramMetricFamily
 from prometheus_client.metrics_core import Metric
@@ -19,16 +22,34 @@
 from stepknot.broker.queries import Queries
 from stepknot.config.settings import Config
 from stepknot.discovery.boxlist import FileSource
+from stepknot.net.http import HttpLimits, Request, Response
 from stepknot.net.loop import LAG_BUCKETS, Coroutine, Loop
-from stepknot.net.server import Handler, Server
+from stepknot.net.server import Connection, Handler, Server
+from stepknot.zones.model import State, ZoneView
+from stepknot.zones.policy import Zones
 
 GRACE = 10.0  # seconds for which held queries may end by themselves once the broker is told to stop
 COLLECT_EVERY = 20_000  # allocations between two passes over the young: a query of 12 parts makes some 300
 LAST_WORD = 2.0  # seconds for final answers to leave after that
 
+STATES = (State.SOUND, State.RETURNING, State.DARK)
+ZONE_GAUGES: tuple[tuple[str, str, Callable[[ZoneView], float]], ...] = (
+    ("state", "0 sound, 1 returning, 2 dark", lambda view: STATES.index(view.state)),
+    ("tier", "Preference, 0 is best", lambda view: view.tier),
+    ("boxes", "Live boxes by the list", lambda view: view.boxes),
+    ("rate", "Parts a second sent there", lambda view: view.rate),
+    ("had", "Parts a second it had", lambda view: view.had),
+    ("allowed", "Parts a second it may get", lambda view: view.allowed),
+    ("ramp", "Share of what it had that it may get back", lambda view: view.ramp),
+    ("failing", "Share of parts that failed", lambda view: view.failing),
+)
 Log = Callable[..., None]
 
 
+def shortest_aim(config: Config) -> float:
+    return min((kind.aim for kind in config.settings.classes.values()), default=1.0)
+
+
 class Service:
     """One broker on a loop of its own. `make_front` gives the handler and the error body of its front."""
 
@@ -43,12 +64,17 @@
         limits = config.settings.limits
         self.name = f"{config.name}@{config.listen[0]}:{config.listen[1]}"
         self.pool = Pool(self.loop, config.connections, config.connect_timeout, limits.idle_connection, config.reply)
+        self.zones = Zones(config.zones, config.settings.rules.cold_time, shortest_aim(config),
+                           chance.getrandbits(62)) if config.zones is not None else None
         self.core = Core(self.loop, config.settings, chance.getrandbits(62), self.pool,
-                         RestCodec(f"stepknot/{config.listen[1]}"), log, config.held, self.name)
+                         RestCodec(f"stepknot/{config.listen[1]}"), log, config.held, self.name, self.zones,
+                         config.tenants)
         self.queries = Queries(config, self.core)
         self.front = make_front(self)
         handler: Handler = self.front.handle
         self.server = Server(self.loop, *config.listen, handler, config.http, self.front.http_error)
+        self.admin = Server(self.loop, *config.admin, self.administer, HttpLimits(body=65536),
+                            self.front.http_error) if config.admin is not None else None
         self.source = FileSource(self.loop, config.list_file, config.list_every, self.core.take_list,
                                  lambda trouble: log("box_list_not_taken", trouble=trouble))
         self.registry = CollectorRegistry()
@@ -82,6 +108,8 @@
     def ending(self) -> Coroutine:
         self.log("stopping", held=len(self.core.held))
         self.server.close()
+        if self.admin is not None:
+            self.admin.close()
         until = self.loop.now + GRACE
         while self.core.held and self.loop.now < until:
             yield from self.loop.sleep(0.02)
@@ -92,6 +120,19 @@
         self.pool.close()
         self.loop.stop()
 
+    # --- operators
+
+    def administer(self, request: Request, connection: Connection) -> Coroutine:
+        """The admin socket: what a running broker decides, as JSON."""
+        yield from ()
+        if request.path == "/zones" and self.zones is not None:
+            rows = [{**asdict(view), "state": view.state.value, "allowed": None if math.isinf(view.allowed)
+                     else view.allowed} for view in self.zones.views(self.loop.now)]
+            return Response(200, orjson.dumps({
+                "broker": self.name, "own": self.zones.settings.own, "spill": self.zones.bounds.spill,
+                "disturbed": self.zones.disturbed(), "shed": self.core.counts["shed"], "zones": rows}))
+        return Response(404, orjson.dumps({"error": f"nothing at {request.path}", "known": ["/zones"]}))
+
     # --- metrics
 
     def metrics(self) -> bytes:
@@ -114,6 +155,8 @@
         found += [queries, attempts, tenants]
         for name, value, text in (
             ("parts", core.counts["parts"], "Parts taken"), ("calls", core.counts["calls"], "Calls sent to boxes"),
+            ("shed", core.counts["shed"], "Queries shed for want of room in zones"),
+            ("zone_changes", core.counts["zone_changes"], "Changes of a zone's state"),
             ("probes", core.counts["probes"], "Questions sent to boxes"),
             ("extra_attempts", core.counts["extra_attempts"], "Attempts beyond each part's first"),
             ("connections_opened", pool.opened, "Connections opened to boxes"),
@@ -124,6 +167,13 @@
             ("busy_seconds", loop.busy, "Time spent in turns of the loop"),
         ):
             found.append(CounterMetricFamily(f"stepknot_{name}", text, value))
+        if self.zones is not None:
+            views = self.zones.views(self.loop.now)
+            for name, text, read in ZONE_GAUGES:
+                gauge = GaugeMetricFamily(f"stepknot_zone_{name}", text, labels=["zone"])
+                for view in views:
+                    gauge.add_metric([view.zone], read(view))
+                found.append(gauge)
         for name, value, text in (
             ("held_queries", len(core.held), "Queries held"), ("attempts_out", len(core.out), "Attempts out"),
             ("client_connections", len(self.server.connections), "Clients connected"),
--- a/stepknot/cli/main.py
+++ b/stepknot/cli/main.py
@@ -153,6 +153,34 @@
     sys.exit(run_demo(port, seconds, documents, brokers, boxes, progress(), click.echo))
 
 
+@cli.command()
+@click.argument("admin", type=Address())
+@click.option("--json", "as_json", is_flag=True, help="Print what the broker says as it is.")
+@click.option("--watch", type=float, help="Ask again every so many seconds until interrupted.")
+def zones(admin: tuple[str, int], as_json: bool, watch: float | None) -> None:
+    """Show how the broker with the admin socket ADMIN sees its zones: state, tier, rates, bound, ramp, and why.
+
+    \b
+    Example: stepknot zones 127.0.0.1:9300 --watch 1
+    """
+    import time
+
+    import orjson
+
+    from stepknot.cli.admin import ask, zone_table
+
+    while True:
+        try:
+            found = ask(admin, "/zones")
+        except OSError as error:
+            click.echo(f"error: no broker answers at {admin[0]}:{admin[1]}: {error}", err=True)
+            raise SystemExit(2) from None
+        click.echo(orjson.dumps(found) if as_json else zone_table(found))
+        if not watch:
+            return
+        time.sleep(watch)
+
+
 @cli.command()
 @click.argument("script", type=CONFIG, required=False)
 @click.option("--out", type=click.Path(path_type=Path), default=Path("day-out"), show_default=True,
--- a/stepknot/config/settings.py
+++ b/stepknot/config/settings.py
@@ -16,6 +16,7 @@
 from stepknot import interface as api
 from stepknot.config.hcl import Block, ConfigError, Problem, Value, parse
 from stepknot.net.http import HttpLimits
+from stepknot.zones.model import Bounds, ZoneSettings
 
 OPERATIONS = ("search", "count", "get", "mget", "index", "create", "update", "delete", "bulk")
 FIELD_TYPES = ("text", "keyword", "long", "integer", "short", "byte", "double", "float", "date", "boolean")
@@ -98,6 +99,16 @@
     return read
 
 
+def tiers(value: Any) -> tuple[tuple[str, ...], ...]:
+    if not isinstance(value, list) or not all(isinstance(tier, list) and tier and all(
+            isinstance(name, str) for name in tier) for tier in value):
+        raise Bad('expected lists of zones, best first, such as [["a"], ["b", "c"]]')
+    names = [name for tier in value for name in tier]
+    if len(set(names)) != len(names):
+        raise Bad("expected each zone in one tier")
+    return tuple(map(tuple, value))
+
+
 def address(value: Any) -> tuple[str, int]:
     host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
     try:
@@ -117,6 +128,7 @@
 
 TOP = {
     "name": Key(text, "stepknot"), "zone": Key(text, ""), "listen": Key(address, ("127.0.0.1", 9200)),
+    "admin": Key(address, None),
     "seed": Key(count(0, 2**63), 0), "instances": Key(count()), "tick": Key(duration, 0.01),
 }
 FLEET = {"cells": Key(count()), "reach": Key(count(), 1), "parts_per_call": Key(count(), 16),
@@ -152,6 +164,13 @@
     "operations": Key(some_of(*OPERATIONS), ()),
 }
 INDEX = {"shards": Key(count(1, 1024)), "routing_shards": Key(count(1, 65536), 0)}
+ZONES = {
+    "enabled": Key(flag, True), "tiers": Key(tiers, ()), "spill": Key(number(1.0, 10.0), 0.0),
+    "near": Key(duration, 0.0), "step": Key(duration, 0.0), "first": Key(number(0.01, 1.0), 0.05),
+    "growth": Key(number(1.05, 4.0), 1.5), "history": Key(duration, 20.0), "most_steps": Key(number(1.0, 64.0), 8.0),
+    "calm": Key(duration, 60.0), "trial": Key(duration, 0.25), "longest_trial": Key(duration, 4.0),
+    "prefer_near": Key(flag, True),
+}
 TENANT = {"share": Key(number(0, 1))}
 FIELD = {"type": Key(one_of(*FIELD_TYPES))}
 
@@ -190,6 +209,8 @@
     held: int
     bulk: int
     searches: int
+    admin: tuple[str, int] | None = None  # where operators' commands reach the broker; none: nowhere
+    zones: ZoneSettings | None = None  # its bounds are derived once the list says how many zones there are
     tenants: dict[str, float] = field(default_factory=dict)  # share of the traffic that each was promised
 
 
@@ -241,12 +262,12 @@
     for block in top.blocks:
         if block.kind in named and len(block.labels) == 1:
             named[block.kind].append(block)
-        elif block.kind in ("fleet", "rules", "limits", "boxes", "http", "request") and not block.labels:
+        elif block.kind in ("fleet", "rules", "limits", "boxes", "http", "request", "zones") and not block.labels:
             if block.kind in single:
                 checker.wrong(block.line, block.kind, "given twice")
             single[block.kind] = block
         else:
-            known = 'fleet, rules, limits, boxes, http, request, class "NAME", index "NAME", tenant "NAME"'
+            known = 'fleet, zones, rules, limits, boxes, http, request, class "NAME", index "NAME", tenant "NAME"'
             checker.wrong(block.line, " ".join([block.kind, *block.labels]), f"unknown block; known: {known}")
     plain = checker.read(top, TOP, "")
     fleet = checker.read(single.get("fleet"), FLEET, "fleet.")
@@ -255,6 +276,7 @@
     boxes = checker.read(single.get("boxes"), BOXES, "boxes.")
     http = checker.read(single.get("http"), HTTP, "http.")
     request = checker.read(single.get("request"), REQUEST, "request.")
+    zones = checker.read(single.get("zones"), ZONES, "zones.")
     classes, operations = read_classes(checker, named["class"])
     indices = read_indices(checker, named["index"])
     tenants = {block.labels[0]: checker.read(block, TENANT, f"tenant.{block.labels[0]}.")["share"]
@@ -273,10 +295,18 @@
         list_file=folder / fleet["list"], list_every=fleet["list_every"], settings=settings,
         operations=operations, indices=indices, connections=boxes["connections"],
         connect_timeout=boxes["connect_timeout"], reply=boxes["reply"], http=HttpLimits(**http),
-        tenants=tenants, **request,
+        tenants=tenants, admin=plain["admin"], zones=zone_settings(plain["zone"], zones), **request,
     )
 
 
+def zone_settings(own: str, got: dict[str, Any]) -> ZoneSettings | None:
+    """None where they are switched off."""
+    if not got.pop("enabled"):
+        return None
+    tiers_, prefer = got.pop("tiers"), got.pop("prefer_near")
+    return ZoneSettings(own, tiers_, Bounds(**got), prefer)
+
+
 def read_classes(checker: Checker, blocks: list[Block]) -> tuple[dict[str, api.QueryClass], dict[str, str]]:
     classes: dict[str, api.QueryClass] = {}
     operations: dict[str, str] = {}
--- a/stepknot/interface.py
+++ b/stepknot/interface.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -122,6 +123,11 @@
     kind: str = ""  # of machine
 
 
+# Which of a part's candidates may be chosen, by their places; safe: the part's query may lose it.
+# For rules of the caller that are not of one server, such as bounds for a whole zone.
+Narrow = Callable[[float, list[ServerEntry], bool], list[int]]
+
+
 @dataclass(frozen=True, slots=True)
 class ListReceived:
     kind: ListKind
--- a/stepknot/logic.py
+++ b/stepknot/logic.py
@@ -16,9 +16,9 @@
 from typing import Any
 
 from stepknot.interface import (
-    Action, Answer, AttemptEnded, Cancel, Close, Effect, Event, Fail, ListKind, ListReceived, Outcome,
-    PartArrived, Probe, ProbeEnded, QueryArrived, QueryGone, Refuse, Send, ServerEntry, ServerState,
-    SetTimer, Settings, TimerDue, Watch,
+    Action, Answer, AttemptEnded, Cancel, Close, Effect, Event, Fail, ListKind, ListReceived, Narrow,
+    Outcome, PartArrived, Probe, ProbeEnded, QueryArrived, QueryGone, Refuse, Send, ServerEntry,
+    ServerState, SetTimer, Settings, TimerDue, Watch,
 )
 from stepknot.records import Attempt, Call, Capsule, Part, Query
 
@@ -64,8 +64,8 @@
 class Aggregator:
     """One instance. It shares nothing and knows no time but that of the calls of `handle`."""
 
-    def __init__(self, settings: Settings, seed: int) -> None:
-        self.settings = settings
+    def __init__(self, settings: Settings, seed: int, narrow: Narrow | None = None) -> None:
+        self.settings, self.narrow = settings, narrow
         self.random = random.Random(seed)
         self.capsules: dict[str, Capsule] = {}  # of the servers listed, in the list's order
         self.cells: dict[int, list[Capsule]] = {}  # the live ones by the cell of the shards they hold
@@ -258,7 +258,7 @@
         capsule.credit, capsule.credit_at = min(capsule.credit, max(1.0, budget)), self.now
         return capsule.credit >= 1
 
-    def choose(self, shard: int, tried: list[str]) -> Capsule | None:
+    def choose(self, shard: int, tried: list[str], safe: bool) -> Capsule | None:
         """The replica with the fewest calls out; one formed in this turn takes a further part for nothing."""
         def rank(capsule: Capsule) -> tuple[float, bool, float]:
             count = self.load(capsule) + self.failed(capsule) + UNANSWERED * capsule.asked
@@ -268,6 +268,9 @@
 
         holders = [each for each in self.holders(shard)
                    if each.entry.server not in tried and self.has_room(each)]
+        if self.narrow:
+            entries = [each.entry for each in holders]
+            holders = [holders[place] for place in self.narrow(self.now, entries, safe)]
         return min(holders, key=rank, default=None)
 
     def ready(self, query: Query) -> bool:
@@ -386,7 +389,8 @@
 
     def plan(self, query: Query, part: Part, share: float = 1.0) -> Attempt | None:
         """An attempt at a replica not tried yet, if there is one, unless it is at its bound or bypassed."""
-        capsule = self.choose(part.shard, part.tried) or self.choose(part.shard, [])
+        safe = query.kind.effect is Effect.SAFE
+        capsule = self.choose(part.shard, part.tried, safe) or self.choose(part.shard, [], safe)
         wait = self.wait_at(query, capsule, share) if capsule else 0.0
         if capsule is None or wait <= 0:
             return None
--- a/stepknot/zones/health.py
+++ b/stepknot/zones/health.py
@@ -17,6 +17,7 @@
 MEMORY = 2.0  # seconds in which half of the evidence is forgotten
 LEAST_SAMPLES = 6.0  # faded samples below which nothing is concluded
 DARK_SHARE = 0.8  # of parts that fail: over this, and over several boxes, the zone is dark
+QUIET = 1.0  # seconds in which parts failed and none was served, at most boxes: the zone is dark, whatever came before
 BAD_STEP = 0.3  # of a step's parts failed: it takes back half
 LEAST_STEP = 3  # parts served without which a step does not count
 
@@ -45,6 +46,7 @@
     failed: Faded = field(default_factory=Faded)
     failing_boxes: dict[str, float] = field(default_factory=dict)  # box: when it last failed
     last_served: float = -math.inf
+    unserved: int = 0  # parts that failed since
     ramp: float = 1.0
     step_end: float = 0.0
     step_served: int = 0
@@ -71,11 +73,12 @@
         """A part sent there was served or lost. `boxes`: how many the zone has."""
         if served:
             self.served.add(now, 1.0)
-            self.last_served = now
+            self.last_served, self.unserved = now, 0
             self.failing_boxes.pop(box, None)
             self.step_served += 1
         else:
             self.failed.add(now, 1.0)
+            self.unserved += 1
             self.failing_boxes[box] = now
             self.step_failed += 1
         if self.state is State.SOUND and not served and self.looks_dark(now, boxes):
@@ -87,9 +90,10 @@
 
     def looks_dark(self, now: float, boxes: int) -> bool:
         """Nearly all fails, at most of the boxes: half a hall is left to the module, which knows each box."""
+        silent = self.unserved >= LEAST_SAMPLES and now - self.last_served >= QUIET
         recent = sum(at > now - 2 * MEMORY for at in self.failing_boxes.values())
-        return (self.samples(now) >= LEAST_SAMPLES and self.share_failing(now) >= DARK_SHARE
-                and recent >= max(1, math.ceil(0.6 * boxes)))
+        lost = self.samples(now) >= LEAST_SAMPLES and self.share_failing(now) >= DARK_SHARE
+        return ((lost or silent) and recent >= max(1, math.ceil(0.6 * boxes)))
 
     def list_lost(self, now: float) -> None:
         """The list names none of its boxes any more."""
--- a/stepknot/zones/policy.py
+++ b/stepknot/zones/policy.py
@@ -16,7 +16,7 @@
 
 from stepknot.interface import Outcome, ServerEntry, ServerState
 from stepknot.zones.health import LEAST_STEP, Health
-from stepknot.zones.model import Change, State, ZoneSettings, ZoneView
+from stepknot.zones.model import Change, State, ZoneSettings, ZoneView, derive
 from stepknot.zones.spill import Rate, Spill
 
 SILENT = 5.0  # mean times of an answer after which a part called off at a silent box counts as lost
@@ -50,9 +50,10 @@
 
 
 class Zones:
-    def __init__(self, settings: ZoneSettings, seed: int) -> None:
-        """The bounds have been derived (`model.derive`)."""
-        self.settings, self.bounds = settings, settings.bounds
+    def __init__(self, settings: ZoneSettings, cold_time: float, shortest_aim: float, seed: int) -> None:
+        """What the settings leave open is derived from the warm-up and the shortest aim, and from the list's zones."""
+        self.settings, self.cold_time, self.shortest_aim = settings, cold_time, shortest_aim
+        self.bounds = derive(settings.bounds, 2, cold_time, shortest_aim)
         self.rng = random.Random(seed)
         self.zones: dict[str, Zone] = {}
         self.zone_of: dict[str, str] = {}
@@ -85,6 +86,7 @@
         self.answered = {box: at for box, at in self.answered.items() if box in self.zone_of}
         for name in counts:
             self.zone(name)
+        self.bounds = derive(self.settings.bounds, len(self.zones), self.cold_time, self.shortest_aim)
         for name, zone in self.zones.items():
             had, zone.boxes = zone.boxes, counts.get(name, 0)
             if had and not zone.boxes:
