--- a/stepknot/cli/admin.py
+++ b/stepknot/cli/admin.py
@@ -36,5 +36,6 @@
     for row in found["zones"]:
         allowed = "-" if row["allowed"] is None else f"{row['allowed']:.1f}"
         lines.append(f"{row['zone'] or '-':<10} {row['state']:<10} {row['tier']:>4} {row['boxes']:>5} "
-                     f"{row['rate']:>8.1f} {row['had']:>8.1f} {allowed:>8} {row['ramp']:>5.2f} {row['failing']:>7.0%}  {row['why']}")
+                     f"{row['rate']:>8.1f} {row['had']:>8.1f} {allowed:>8} {row['ramp']:>5.2f} "
+                     f"{row['failing']:>7.0%}  {row['why']}")
     return "\n".join(lines)
--- a/stepknot/config/hcl.py
+++ b/stepknot/config/hcl.py
@@ -106,7 +106,7 @@
                 return int(node.children[0])
             case "float_lit":
                 return float(node.children[0])
-            case "keyword" | "identifier" if str(node.children[0]) in ("true", "false", "null"):
+            case "literal_value" | "identifier" if str(node.children[0]) in ("true", "false", "null"):
                 return {"true": True, "false": False, "null": None}[str(node.children[0])]
             case "unary_op":
                 inner = self.value(children[-1], key)
--- a/stepknot/interface.py
+++ b/stepknot/interface.py
@@ -123,9 +123,9 @@
     kind: str = ""  # of machine
 
 
-# Which of a part's candidates may be chosen, by their places; safe: the part's query may lose it.
-# For rules of the caller that are not of one server, such as bounds for a whole zone.
-Narrow = Callable[[float, list[ServerEntry], bool], list[int]]
+# Which of a part's candidates may be chosen, by their places. For rules of the caller that are not of one
+# server, such as bounds for a whole zone. Safe: the part may be lost; owed: a first step was done for it.
+Narrow = Callable[[float, list[ServerEntry], bool, bool], list[int]]
 
 
 @dataclass(frozen=True, slots=True)
--- a/stepknot/lab/box.py
+++ b/stepknot/lab/box.py
@@ -41,7 +41,7 @@
 MOST_LOG = 200_000
 COPY_TIME = 0.3  # seconds for the other boxes of the cell to take a write
 CACHE_WORK, CACHE_TIME = 0.7, 5.0  # share of the work for a key met so many seconds ago at most
-FAULTS = ("crash", "hang", "fail_fast", "slow", "pause", "reset", "cut", "garbage", "refuse", "lost", "huge")
+FAULTS = ("crash", "hang", "fail_fast", "slow", "pause", "reset", "cut", "garbage", "refuse", "lost", "huge", "deaf")
 Steps = Generator[Park, Any, Any]
 
 
@@ -237,6 +237,8 @@
             yield from self.loop.sleep(self.cores.paused_until - self.loop.now)
         if request.method == "HEAD" or request.path == "/":
             return Response(200, b"{}", [self.load_header()])
+        if self.fault("deaf", agent):
+            yield Signal().park
         if request.path == "/_msearch" and request.method == "POST":
             response = yield from self.msearch(request, connection, agent)
         elif request.path == "/_bulk" and request.method == "POST":
--- a/stepknot/lab/fleet.py
+++ b/stepknot/lab/fleet.py
@@ -91,6 +91,10 @@
   operations = ["create", "update"]
 }}
 
+zones {{
+  enabled = {zones}
+}}
+
 index "{index}" {{
   shards = {shards}
 {fields}}}
@@ -99,7 +103,7 @@
 
 def settings_text(**given: Any) -> str:
     values = {"name": "demo", "zone": "a", "port": 0, "admin": 0, "instances": 2, "cells": 4, "shards": 12, "aim": 1.0,
-              "deadline": 3.0, "cold_time": 10, "extra_floor": 20, "index": corpus.INDEX} | given
+              "deadline": 3.0, "cold_time": 10, "extra_floor": 20, "zones": "true", "index": corpus.INDEX} | given
     values["fields"] = "".join(f'  field "{name}" {{\n    type = "{kind}"\n  }}\n'
                                for name, kind in corpus.FIELDS.items())
     return SETTINGS.format(**values)
--- a/stepknot/logic.py
+++ b/stepknot/logic.py
@@ -258,7 +258,7 @@
         capsule.credit, capsule.credit_at = min(capsule.credit, max(1.0, budget)), self.now
         return capsule.credit >= 1
 
-    def choose(self, shard: int, tried: list[str], safe: bool) -> Capsule | None:
+    def choose(self, query: Query, shard: int, tried: list[str]) -> Capsule | None:
         """The replica with the fewest calls out; one formed in this turn takes a further part for nothing."""
         def rank(capsule: Capsule) -> tuple[float, bool, float]:
             count = self.load(capsule) + self.failed(capsule) + UNANSWERED * capsule.asked
@@ -269,8 +269,8 @@
         holders = [each for each in self.holders(shard)
                    if each.entry.server not in tried and self.has_room(each)]
         if self.narrow:
-            entries = [each.entry for each in holders]
-            holders = [holders[place] for place in self.narrow(self.now, entries, safe)]
+            entries, safe = [each.entry for each in holders], query.kind.effect is Effect.SAFE
+            holders = [holders[place] for place in self.narrow(self.now, entries, safe, bool(query.first))]
         return min(holders, key=rank, default=None)
 
     def ready(self, query: Query) -> bool:
@@ -389,8 +389,7 @@
 
     def plan(self, query: Query, part: Part, share: float = 1.0) -> Attempt | None:
         """An attempt at a replica not tried yet, if there is one, unless it is at its bound or bypassed."""
-        safe = query.kind.effect is Effect.SAFE
-        capsule = self.choose(part.shard, part.tried, safe) or self.choose(part.shard, [], safe)
+        capsule = self.choose(query, part.shard, part.tried) or self.choose(query, part.shard, [])
         wait = self.wait_at(query, capsule, share) if capsule else 0.0
         if capsule is None or wait <= 0:
             return None
--- a/stepknot/zones/policy.py
+++ b/stepknot/zones/policy.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass, field
 
 from stepknot.interface import Outcome, ServerEntry, ServerState
-from stepknot.zones.health import LEAST_STEP, Health
+from stepknot.zones.health import LEAST_STEP, Faded, Health
 from stepknot.zones.model import Change, State, ZoneSettings, ZoneView, derive
 from stepknot.zones.spill import Rate, Spill
 
@@ -25,6 +25,8 @@
 LEAST_LEVEL = 0.05  # of what may be sent, for each level of worth: none is shut out
 OVER_SHARE = 0.5  # of its worth counts for a query of a tenant that has more than it was promised
 ADVICE = (0.5, 2.0)  # seconds: refused clients are spread over this, more widely the longer the way back
+DEMAND_MEMORY = 4.0  # seconds over which what is asked for is seen: shorter, and each lump looks like overload
+WIDEST_MEMORY = 10.0
 MOST_CHANGES = 1000
 COUNTED = {Outcome.ERROR, Outcome.RESET, Outcome.NOT_CONNECTED}
 
@@ -45,7 +47,7 @@
 class Level:
     """Queries of one worth for a part: how many parts a second, and what part of one is owed to the next."""
 
-    asked: Rate = field(default_factory=lambda: Rate(1.0))
+    asked: Rate = field(default_factory=lambda: Rate(DEMAND_MEMORY))
     owed: float = 0.0
 
 
@@ -58,7 +60,8 @@
         self.zones: dict[str, Zone] = {}
         self.zone_of: dict[str, str] = {}
         self.answered: dict[str, float] = {}  # by box: when it last served
-        self.asked_rate = Rate(1.0)
+        self.asked_rate = Rate(DEMAND_MEMORY)
+        self.widest = Faded()  # parts of the widest query lately
         self.levels: dict[float, Level] = {}
         self.mean = 0.0  # seconds of an answer
         self.changes: list[Change] = []
@@ -204,10 +207,12 @@
         if rate == math.inf:
             return True
         zone = self.zone(name)
-        return zone.spill.fill(self.now, rate) - zone.tentative >= 1.0
+        widest = self.widest.now(self.now, WIDEST_MEMORY) if zone.health.state is State.SOUND else 1.0
+        return zone.spill.fill(self.now, rate, max(widest, 1.0)) - zone.tentative >= 1.0
 
-    def narrow(self, now: float, entries: Sequence[ServerEntry], safe: bool) -> list[int]:
-        """The places of those that may be chosen; none where nothing may be sent. `safe`: fit for a trial."""
+    def narrow(self, now: float, entries: Sequence[ServerEntry], safe: bool, owed: bool = False) -> list[int]:
+        """The places of those that may be chosen; none where nothing may be sent. `safe`: fit for a trial; `owed`:
+        work was done for it already, so it is not shed where any zone is sound."""
         self.advance(now)
         by_zone: dict[str, list[int]] = defaultdict(list)
         for place, entry in enumerate(entries):
@@ -215,7 +220,7 @@
         if not self.disturbed():
             return self.best_tier(by_zone)
         states = {name: self.zone(name).health.state for name in by_zone}
-        if safe:
+        if safe and not owed:
             for name, places in by_zone.items():
                 if states[name] is State.DARK and self.zone(name).health.may_try(self.now):
                     return places
@@ -223,7 +228,7 @@
         returning = {name: places for name, places in by_zone.items()
                      if states[name] is State.RETURNING and self.has_tokens(name)}
         sound = {name: places for name, places in by_zone.items()
-                 if states[name] is State.SOUND and self.has_tokens(name)}
+                 if states[name] is State.SOUND and (owed or self.has_tokens(name))}
         usable = {**sound, **returning}
         if not usable and all(state is State.DARK for state in states.values()):
             usable = {name: places for name, places in by_zone.items() if self.has_tokens(name)}  # the last copies
@@ -249,6 +254,8 @@
         """None: go on. Else the query is shed, and comes back after so many seconds. `worth`: for a part."""
         self.advance(now)
         self.asked_rate.add(self.now, parts)
+        if parts > self.widest.now(self.now, WIDEST_MEMORY):
+            self.widest = Faded(parts, self.now)
         worth = max(worth * (OVER_SHARE if over_share else 1.0), 1e-9)
         level_worth = 2 ** (round(2 * math.log2(worth)) / 2)  # few levels, whatever the number of parts
         level = self.levels.setdefault(level_worth, Level())
--- a/stepknot/zones/spill.py
+++ b/stepknot/zones/spill.py
@@ -11,8 +11,8 @@
 import math
 from dataclasses import dataclass, field
 
-BURST = 1.0  # seconds of the rate that a bucket holds
-LEAST_BURST = 4.0  # parts: a zone with little traffic still takes a small query
+BURST = 2.0  # seconds of the rate that a bucket holds
+LEAST_BURST = 2.0  # widest queries that it holds at the least: queries come in lumps, most where a broker has few
 RATE_MEMORY = 1.0  # seconds over which the rate now is seen
 BACK_OFF, RECOVER = 0.9, 0.02  # what a zone is seen to bear: less by a tenth when it turns work away, more each second
 LEAST_BEAR = 0.5
@@ -46,7 +46,7 @@
     had_at: float | None = None
     bear: float = 1.0  # share of the bound that the zone is seen to bear
     bear_at: float = 0.0
-    tokens: float = LEAST_BURST
+    tokens: float = 0.0
     tokens_at: float | None = None
 
     def remember(self, now: float) -> None:
@@ -77,9 +77,9 @@
     def bearing(self, now: float) -> float:
         return min(1.0, self.bear + RECOVER * max(now - self.bear_at, 0.0))
 
-    def fill(self, now: float, rate: float) -> float:
-        """The tokens at this time, with the bucket filled at `rate` since the last call."""
-        most = max(rate * BURST, LEAST_BURST)
+    def fill(self, now: float, rate: float, widest: float) -> float:
+        """The tokens at this time, with the bucket filled at `rate` since the last call. `widest`: parts of a query."""
+        most = max(rate * BURST, LEAST_BURST * widest)
         if self.tokens_at is None:
             self.tokens = most
         else:
--- a/tests/config/test_settings.py
+++ b/tests/config/test_settings.py
@@ -8,7 +8,7 @@
 from click.testing import CliRunner
 
 from stepknot.cli.main import cli
-from stepknot.config.hcl import ConfigError
+from stepknot.config.hcl import ConfigError, parse
 from stepknot.config.settings import load
 from stepknot.discovery.boxlist import changes, read_entries
 from stepknot.interface import Effect, ServerState
@@ -58,6 +58,29 @@
         assert new.split(" ")[0] in GOOD.replace(old, new, 1).split("\n")[line - 1]
 
 
+def test_every_kind_of_literal_is_read(tmp_path: Path) -> None:
+    block = parse('a = true\nb = false\nc = -3\nd = [1, 2.5, "x\\"y"]\ne = { k = "v", "q" = -1.5 }\n', "f")
+    assert {key: value.value for key, value in block.values.items()} == {
+        "a": True, "b": False, "c": -3, "d": [1, 2.5, 'x"y'], "e": {"k": "v", "q": -1.5}}
+    assert [value.line for value in block.values.values()] == [1, 2, 3, 4, 5]
+    for text in ("a = b.c\n", 'a = "${x}"\n', "a = 1 + 2\n"):
+        with pytest.raises(ConfigError, match="f:1: a: "):
+            parse(text, "f")
+
+
+def test_zones_are_set_and_checked(tmp_path: Path) -> None:
+    path = tmp_path / "broker.hcl"
+    head, _, tail = GOOD.partition("zones {")
+    rest = tail.partition("}")[2]
+    path.write_text(head + 'zones {\n  tiers = [["a"], ["b", "c"]]\n  spill = 1.5\n}' + rest)
+    zones = load(path).zones
+    assert zones is not None and zones.tiers == (("a",), ("b", "c")) and zones.bounds.spill == 1.5
+    path.write_text(head + "zones {\n  enabled = false\n}" + rest)
+    assert load(path).zones is None
+    assert "zones.spill" in problems(tmp_path, head + "zones {\n  spill = 0.5\n}" + rest)[0]
+    assert "each zone in one tier" in problems(tmp_path, head + 'zones {\n  tiers = [["a"], ["a"]]\n}' + rest)[0]
+
+
 def test_all_problems_are_told_at_once_and_text_that_is_no_hcl_has_its_line(tmp_path: Path) -> None:
     text = GOOD.replace('"1s"', '"x"').replace("cells          = 4", "cells          = -4")
     assert len(problems(tmp_path, text)) >= 2
