Drop a table that nothing reads and times that each query kept for nobody

Found on reading the change again: RESULTS in the search front is dead, and the core appended each query's time to a deque that is read nowhere. Behaviour is the same; 77 tests of broker, fronts and layers pass.

--- a/stepknot/broker/core.py
+++ b/stepknot/broker/core.py
@@ -9,7 +9,7 @@
 
 import heapq
 import math
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -121,7 +121,6 @@
         self.counts: Counter[str] = Counter()
         self.class_counts: Counter[tuple[str, str]] = Counter()
         self.tenant_counts: Counter[tuple[str, str]] = Counter()  # of those in the settings, the rest together
-        self.times: dict[str, deque[float]] = {}
         self.tenant_rates: dict[str, Rate] = {}
         self.decide_time = 0.0
         loop.turn_hooks.append(self.turn)
@@ -411,7 +410,6 @@
         if result is not None and result.status is Status.ANSWERED and not result.whole:
             self.counts["partial"] += 1
         took = self.loop.now - ask.arrived
-        self.times.setdefault(ask.class_name, deque(maxlen=1000)).append(took)
         served = sum(piece.served for piece in ask.first)
         self.on_event("query_ended", query=ask.name, query_class=ask.class_name, ending=ending, took=round(took, 6),
                       parts=len(ask.first), served=served, whole=bool(result and result.whole))
--- a/stepknot/fronts/search/app.py
+++ b/stepknot/fronts/search/app.py
@@ -39,7 +39,6 @@
 DOCUMENT = {"routing", "_source", "_source_includes", "_source_excludes", "refresh", "timeout", "realtime",
             "preference", "require_alias", "op_type", "wait_for_active_shards", "stored_fields"}
 MOST_NAME = 128  # characters of a client's own name for a query
-RESULTS = {"index": "index", "create": "create", "update": "update", "delete": "delete"}
 
 
 class SearchFront:
