The platform's broker: frames, discovery and clients' protocol on the same core and module

The core asks a small interface for the boxes' side (boxes/side.py): HTTP exchanges as before are one (boxes/rest.py), frames are the other. It now passes effort, retry, the list as last had and failed watches on to the module, and carries Watch out.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -43,7 +43,7 @@
      f"{HARD}::test_a_kept_connection_with_bytes_nobody_asked_for_is_not_used"),
     ("boxes/pool.py", "Outcome.RESET if handed_over else Outcome.NOT_CONNECTED", "Outcome.NOT_CONNECTED",
      f"{HARD}::test_a_kept_connection_closed_as_an_unsafe_part_is_written"),
-    ("broker/core.py", "call.exchange.abandon()  # nobody", "pass  # nobody",
+    ("boxes/rest.py", "call.exchange.abandon()  # nobody", "pass  # nobody",
      f"{HARD}::test_a_client_that_hangs_up_has_its_parts_called_off"),
     ("broker/core.py", "self.post(api.QueryGone(ask.query_id))\n            self.finish(ask, None)", "pass",
      f"{HARD}::test_a_client_that_hangs_up_has_its_parts_called_off"),
--- /dev/null
+++ b/stepknot/boxes/rest.py
@@ -0,0 +1,91 @@
+"""The boxes' side over HTTP: calls are exchanges, each with a connection to itself, in the engines' public protocol."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+
+from stepknot.boxes.codec import Codec, PartReply
+from stepknot.boxes.pool import Exchange, Pool
+from stepknot.boxes.side import Load, OnReply, Parcel, nobody
+from stepknot.interface import Outcome
+from stepknot.net.http import ClientParser, HttpError
+from stepknot.net.loop import Loop
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """What travels together to one box; `live` are the parcels for whose reply somebody still waits."""
+
+    parcels: list[Parcel]
+    live: int
+    exchange: Exchange | None = None
+
+
+class RestBoxes:
+    def __init__(self, loop: Loop, pool: Pool, codec: Codec, parts_per_call: int,
+                 on_event: Callable[..., None]) -> None:
+        self.loop, self.pool, self.codec = loop, pool, codec
+        self.parts_per_call, self.on_event = parts_per_call, on_event
+        self.on_reply: OnReply = nobody
+
+    def send(self, server: str, parcels: list[Parcel]) -> int:
+        shared = [each for each in parcels if self.codec.shares_call(each.request)]
+        alone = [each for each in parcels if not self.codec.shares_call(each.request)]
+        size = self.parts_per_call
+        groups = [shared[place:place + size] for place in range(0, len(shared), size)] + [[each] for each in alone]
+        for group in groups:
+            call = Call(group, len(group))
+            for parcel in group:
+                parcel.ride = call
+            name = group[0].name
+            data = self.codec.encode([each.request for each in group], self.pool.box(server).name, name)
+            call.exchange = Exchange(data, partial(self.on_end, call))
+            self.on_event("call_sent", box=server, query=name, parts=len(group))
+            self.pool.start(server, call.exchange)
+        return len(groups)
+
+    def on_end(self, call: Call, parser: ClientParser | None, outcome: Outcome, reason: str) -> None:
+        """A call ended: each parcel for which somebody still waits ends with its own outcome."""
+        load: Load = {}
+        parcels, call.parcels, call.exchange = call.parcels, [], None  # no ring is left behind
+        replies = [PartReply(outcome, reason=reason)] * len(parcels)
+        if parser is not None:
+            load = self.codec.load(parser.headers)
+            try:
+                body = parser.body()
+            except HttpError as error:
+                replies = [PartReply(Outcome.ERROR, reason=error.reason)] * len(parcels)
+            else:
+                requests = [each.request for each in parcels]
+                replies = self.codec.decode(requests, parser.status, parser.headers, body)
+        for parcel, reply in zip(parcels, replies, strict=True):
+            if parcel.ride is call:
+                parcel.ride = None
+                self.on_reply(parcel, reply, load)
+
+    def give_up(self, parcel: Parcel) -> None:
+        call, parcel.ride = parcel.ride, None
+        if call is not None:
+            call.live -= 1
+            if not call.live and call.exchange is not None and not call.exchange.ended:
+                call.exchange.abandon()  # nobody waits: the box sees it, and may drop the work
+                call.exchange, call.parcels = None, []
+
+    def probe(self, server: str, on_end: Callable[[Outcome, Load], None]) -> None:
+        def end(parser: ClientParser | None, outcome: Outcome, reason: str) -> None:
+            timer.cancel()
+            on_end(outcome, self.codec.load(parser.headers) if parser is not None else {})
+
+        def expire() -> None:
+            if not exchange.ended:
+                exchange.abandon()
+                end(None, Outcome.TIMED_OUT, "")
+
+        exchange = Exchange(self.codec.encode_probe(self.pool.box(server).name), end)
+        timer = self.loop.call_later(self.pool.connect_timeout, expire)
+        self.pool.start(server, exchange)
+
+    def close_idle(self, server: str) -> None:
+        self.pool.close_idle(server)
--- /dev/null
+++ b/stepknot/boxes/side.py
@@ -0,0 +1,47 @@
+"""What the core needs of the boxes' side, whichever protocol is spoken there."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from stepknot.boxes.codec import PartReply
+from stepknot.interface import Outcome
+
+Load = dict[str, float]
+
+
+@dataclass(slots=True, eq=False)
+class Parcel:
+    """One attempt on its way to a box and back."""
+
+    request: Any  # what is asked, in the side's own terms
+    name: str  # of its query, in logs and at boxes
+    wait: float  # seconds for which somebody waits
+    ride: Any = None  # what it travels in: the side's own
+
+
+OnReply = Callable[[Any, PartReply, Load], None]
+
+
+class Boxes(Protocol):
+    """Each parcel sent ends once: by a call of `on_reply`, or by `give_up`."""
+
+    on_reply: OnReply
+
+    def send(self, server: str, parcels: list[Any]) -> int:
+        """What goes to one box in one turn; the number of calls in which it travels."""
+
+    def give_up(self, parcel: Any) -> None:
+        """Nobody waits for it any more."""
+
+    def probe(self, server: str, on_end: Callable[[Outcome, Load], None]) -> None:
+        """Ask for the load alone; `on_end` is called once."""
+
+    def close_idle(self, server: str) -> None:
+        """Close the connections on which nothing is out."""
+
+
+def nobody(parcel: Any, reply: PartReply, load: Load) -> None:
+    """No core listens yet."""
--- a/stepknot/broker/core.py
+++ b/stepknot/broker/core.py
@@ -17,10 +17,9 @@
 from typing import Any
 
 from stepknot import interface as api
-from stepknot.boxes.codec import Codec, PartReply, PartRequest
-from stepknot.boxes.pool import Exchange, Pool
+from stepknot.boxes.codec import PartReply
+from stepknot.boxes.side import Boxes, Load, Parcel
 from stepknot.logic import Aggregator
-from stepknot.net.http import ClientParser, HttpError
 from stepknot.net.loop import Loop, Signal
 from stepknot.zones.policy import Zones
 from stepknot.zones.spill import Rate
@@ -46,8 +45,9 @@
 
     shard: int  # among the fleet's
     weight: float
-    request: PartRequest
+    request: Any  # in the terms of the boxes' side
     accept: Accept
+    effort: float = 0.0  # seconds of work it is thought to be, 0: not told
     part_id: int = 0
     answer: Any = None
     served: bool = False
@@ -67,6 +67,8 @@
     tenant: str = ""
     key: str = ""
     name: str = ""  # in logs and at boxes
+    effort: float = 0.0
+    retry: bool = False  # its client says that it asks again
     query_id: int = 0
     step: int = 1
     fetch: list[Piece] = field(default_factory=list)
@@ -83,33 +85,26 @@
 
 
 @dataclass(slots=True, eq=False)
-class Attempt:
-    piece: Piece
-    ask: Ask
-    number: int
-    server: str
-    sent: float
-    call: Call | None = None
-
-
-@dataclass(slots=True, eq=False)
-class Call:
-    """What travels together to one box; `live` are the attempts that still wait for its reply."""
-
-    server: str
-    attempts: list[Attempt]
-    live: int
-    exchange: Exchange | None = None
+class Attempt(Parcel):
+    piece: Piece = field(kw_only=True)
+    ask: Ask = field(kw_only=True)
+    number: int = field(kw_only=True)
+    server: str = field(kw_only=True)
+    sent: float = field(kw_only=True)
 
 
 class Core:
     def __init__(
-        self, loop: Loop, settings: api.Settings, seed: int, pool: Pool, codec: Codec,
+        self, loop: Loop, settings: api.Settings, seed: int, boxes: Boxes,
         on_event: Callable[..., None], most_held: int = 4096, name: str = "", zones: Zones | None = None,
-        promised: dict[str, float] | None = None,
+        promised: dict[str, float] | None = None, most_open: float = math.inf,
+        watch: Callable[[], None] = lambda: None,
     ) -> None:
-        self.loop, self.settings, self.pool, self.codec = loop, settings, pool, codec
-        self.on_event, self.most_held, self.name = on_event, most_held, name
+        """`most_held` bounds queries, `most_open` queries and parts together. `watch` asks for the list's changes; a
+        source that tells them of itself needs none."""
+        self.loop, self.settings, self.boxes, self.watch = loop, settings, boxes, watch
+        boxes.on_reply = self.take_reply
+        self.on_event, self.most_held, self.most_open, self.name = on_event, most_held, most_open, name
         self.zones, self.promised = zones, promised or {}
         self.module = Aggregator(settings, seed, zones.narrow if zones is not None else None)
         self.inbox: list[api.Event] = []
@@ -138,9 +133,11 @@
         """Take a query; `ask.done` is set with its `Result` at the latest when the client's time is nearly up."""
         self.last_id += 1
         ask.query_id, ask.arrived = self.last_id, self.loop.now
-        if len(self.held) >= self.most_held:  # the stated bound of what is held: memory comes before all else
+        still = len(self.held) + len(self.pieces) + 1 + len(ask.first)
+        if len(self.held) >= self.most_held or still > self.most_open:  # memory comes before all else
             self.counts["over_bound"] += 1
-            ask.done.set(Result(Status.REFUSED, retry_after=self.settings.limits.max_retry_after))
+            limits = self.settings.limits
+            ask.done.set(Result(Status.REFUSED, retry_after=limits.max_retry_after if limits.retry_after else 0.0))
             return
         if self.zones is not None:
             worth = self.settings.classes[ask.class_name].worth / max(len(ask.first), 1)
@@ -155,7 +152,8 @@
         self.held[ask.query_id] = ask
         self.counts["queries"] += 1
         self.class_counts[ask.class_name, "taken"] += 1
-        self.post(api.QueryArrived(ask.query_id, ask.query_id, ask.class_name, ask.deadline, ask.tenant, ask.key))
+        self.post(api.QueryArrived(ask.query_id, ask.query_id, ask.class_name, ask.deadline, ask.tenant, ask.key,
+                                   ask.effort, ask.retry))
         self.add_pieces(ask, ask.first)
 
     def over_share(self, tenant: str) -> bool:
@@ -175,7 +173,7 @@
             self.last_id += 1
             piece.part_id = self.last_id
             self.pieces[piece.part_id] = (ask, piece)
-            self.post(api.PartArrived(piece.part_id, ask.query_id, piece.shard, piece.weight))
+            self.post(api.PartArrived(piece.part_id, ask.query_id, piece.shard, piece.weight, piece.effort))
         self.counts["parts"] += len(pieces)
 
     def gone(self, ask: Ask) -> None:
@@ -190,7 +188,7 @@
         for entry in event.entries:
             if entry.state is api.ServerState.GONE:
                 self.servers.pop(entry.server, None)
-                self.pool.close_idle(entry.server)
+                self.boxes.close_idle(entry.server)
             else:
                 self.servers[entry.server] = entry
             self.on_event("box_listed", box=entry.server, state=entry.state.value, zone=entry.zone, cell=entry.cell)
@@ -240,11 +238,12 @@
                 case api.Probe():
                     self.probe(action.server)
                 case api.Close():
-                    self.pool.close_idle(action.server)
+                    self.boxes.close_idle(action.server)
                 case api.Watch():
-                    pass  # file and DNS sources push of themselves
+                    self.watch()
         for server, attempts in sends.items():
-            self.dispatch(server, attempts)
+            attempts = [each for each in attempts if self.out.get((each.piece.part_id, each.number)) is each]
+            self.counts["calls"] += self.boxes.send(server, attempts)
         self.rearm()
 
     def on_alarm(self) -> None:
@@ -269,7 +268,8 @@
             self.post(api.AttemptEnded(action.part_id, 0, action.server, api.Outcome.NOT_SENT, 0.0))
             return
         ask, piece = self.pieces[action.part_id]
-        attempt = Attempt(piece, ask, piece.attempts, action.server, self.loop.now)
+        attempt = Attempt(piece.request, ask.name, action.timeout, piece=piece, ask=ask, number=piece.attempts,
+                          server=action.server, sent=self.loop.now)
         piece.attempts += 1
         piece.reason = "no answer in time"
         self.counts["attempts"] += 1
@@ -287,42 +287,7 @@
             sharing.append(attempt)
         sends.setdefault(action.server, []).append(attempt)
 
-    def dispatch(self, server: str, attempts: list[Attempt]) -> None:
-        attempts = [each for each in attempts if self.out.get((each.piece.part_id, each.number)) is each]
-        shared = [each for each in attempts if self.codec.shares_call(each.piece.request)]
-        alone = [each for each in attempts if not self.codec.shares_call(each.piece.request)]
-        size = self.settings.parts_per_call
-        groups = [shared[place:place + size] for place in range(0, len(shared), size)]
-        for group in [*groups, *([each] for each in alone)]:
-            call = Call(server, group, len(group))
-            for attempt in group:
-                attempt.call = call
-            name = group[0].ask.name
-            data = self.codec.encode([each.piece.request for each in group], self.pool.box(server).name, name)
-            call.exchange = Exchange(data, partial(self.on_reply, call))
-            self.counts["calls"] += 1
-            self.on_event("call_sent", box=server, query=name, parts=len(group))
-            self.pool.start(server, call.exchange)
-
-    def on_reply(self, call: Call, parser: ClientParser | None, outcome: api.Outcome, reason: str) -> None:
-        """A call ended: each attempt that still waits for it ends with its own outcome."""
-        load: dict[str, float] = {}
-        attempts, call.attempts, call.exchange = call.attempts, [], None  # no ring is left behind
-        replies = [PartReply(outcome, reason=reason)] * len(attempts)
-        if parser is not None:
-            load = self.codec.load(parser.headers)
-            try:
-                body = parser.body()
-            except HttpError as error:
-                replies = [PartReply(api.Outcome.ERROR, reason=error.reason)] * len(attempts)
-            else:
-                requests = [each.piece.request for each in attempts]
-                replies = self.codec.decode(requests, parser.status, parser.headers, body)
-        for attempt, reply in zip(attempts, replies, strict=True):
-            if self.out.get((attempt.piece.part_id, attempt.number)) is attempt:
-                self.take_reply(attempt, reply, load)
-
-    def take_reply(self, attempt: Attempt, reply: PartReply, load: dict[str, float]) -> None:
+    def take_reply(self, attempt: Attempt, reply: PartReply, load: Load) -> None:
         piece, outcome = attempt.piece, reply.outcome
         if outcome is api.Outcome.SERVED and not piece.served:
             try:
@@ -334,7 +299,7 @@
             piece.reason = reply.reason or outcome.value
         self.end_attempt(attempt, outcome, load)
 
-    def end_attempt(self, attempt: Attempt, outcome: api.Outcome, load: dict[str, float]) -> None:
+    def end_attempt(self, attempt: Attempt, outcome: api.Outcome, load: Load) -> None:
         piece = attempt.piece
         if self.out.pop((piece.part_id, attempt.number), None) is None:
             return
@@ -344,13 +309,8 @@
             self.zones.ended(now, attempt.server, outcome, now - attempt.sent)
             if self.zones.changes:
                 self.tell_changes()
-        call = attempt.call
-        if call is not None:
-            call.live -= 1
-            attempt.call = None
-            if not call.live and call.exchange is not None and not call.exchange.ended:
-                call.exchange.abandon()  # nobody waits: the box sees it, and may drop the work
-                call.exchange, call.attempts = None, []
+        if attempt.ride is not None:
+            self.boxes.give_up(attempt)
         self.post(api.AttemptEnded(piece.part_id, attempt.number, attempt.server, outcome,
                                    now - attempt.sent, False, load))
 
@@ -366,21 +326,12 @@
         begun = self.loop.now
         self.counts["probes"] += 1
 
-        def end(parser: ClientParser | None, outcome: api.Outcome, reason: str) -> None:
-            timer.cancel()
-            load = self.codec.load(parser.headers) if parser is not None else {}
+        def end(outcome: api.Outcome, load: Load) -> None:
             if self.zones is not None:
                 self.zones.probed(self.loop.now, server, self.loop.now - begun, outcome is api.Outcome.SERVED)
             self.post(api.ProbeEnded(server, outcome, self.loop.now - begun, load))
 
-        def expire() -> None:
-            if not exchange.ended:
-                exchange.abandon()
-                end(None, api.Outcome.TIMED_OUT, "")
-
-        exchange = Exchange(self.codec.encode_probe(self.pool.box(server).name), end)
-        timer = self.loop.call_later(self.pool.connect_timeout, expire)
-        self.pool.start(server, exchange)
+        self.boxes.probe(server, end)
 
     # --- answers
 
--- a/stepknot/broker/indices.py
+++ b/stepknot/broker/indices.py
@@ -15,7 +15,7 @@
 import mmh3
 import orjson
 
-from stepknot.boxes.pool import Exchange
+from stepknot.boxes.pool import Exchange, Pool
 from stepknot.broker.core import Core
 from stepknot.config.settings import FIELD_TYPES, Config, Index, default_routing_shards
 from stepknot.interface import Outcome, ServerState
@@ -34,8 +34,8 @@
 
 
 class Indices:
-    def __init__(self, config: Config, core: Core) -> None:
-        self.config, self.core = config, core
+    def __init__(self, config: Config, core: Core, pool: Pool) -> None:
+        self.config, self.core, self.pool = config, core, pool
         self.declared = config.indices
         self.created: dict[str, Index] = {}
         self.asked: dict[str, float] = {}  # when each name was last learnt, known or not
@@ -113,7 +113,7 @@
                 f"content-length: {len(body)}\r\n\r\n")
         exchange = Exchange(head.encode() + body, end)
         timer = self.core.loop.call_later(seconds, expire)
-        self.core.pool.start(box, exchange)
+        self.pool.start(box, exchange)
         return (yield from done.wait())
 
     # --- changing
--- a/stepknot/broker/queries.py
+++ b/stepknot/broker/queries.py
@@ -15,6 +15,7 @@
 import orjson
 
 from stepknot.boxes.codec import SearchPart, WritePart
+from stepknot.boxes.pool import Pool
 from stepknot.broker.core import Ask, Core, Piece, Result, Status
 from stepknot.broker.indices import Indices
 from stepknot.config.settings import Config, Index
@@ -118,9 +119,9 @@
 
 
 class Queries:
-    def __init__(self, config: Config, core: Core) -> None:
+    def __init__(self, config: Config, core: Core, pool: Pool) -> None:
         self.config, self.core = config, core
-        self.indices = Indices(config, core)
+        self.indices = Indices(config, core, pool)
         self.boot = f"{core.loop.rng.getrandbits(48):012x}"  # tokens of this process differ from an earlier one's
         self.tokens = 0
 
--- a/stepknot/broker/service.py
+++ b/stepknot/broker/service.py
@@ -24,6 +24,7 @@
 from stepknot.admission.model import Rank
 from stepknot.boxes.codec import RestCodec
 from stepknot.boxes.pool import Pool
+from stepknot.boxes.rest import RestBoxes
 from stepknot.broker.core import Core
 from stepknot.broker.gate import Gate
 from stepknot.broker.queries import Queries
@@ -84,10 +85,11 @@
         rules = config.settings.rules
         self.zones = Zones(config.zones, rules.cold_share, rules.cold_time, shortest_aim(config),
                            chance.getrandbits(62)) if config.zones is not None else None
-        self.core = Core(self.loop, config.settings, chance.getrandbits(62), self.pool,
-                         RestCodec(f"stepknot/{config.listen[1]}"), log, config.held, self.name, self.zones,
-                         config.tenants)
-        self.queries = Queries(config, self.core)
+        boxes = RestBoxes(self.loop, self.pool, RestCodec(f"stepknot/{config.listen[1]}"),
+                          config.settings.parts_per_call, log)
+        self.core = Core(self.loop, config.settings, chance.getrandbits(62), boxes, log, config.held, self.name,
+                         self.zones, config.tenants)
+        self.queries = Queries(config, self.core, self.pool)
         self.front = make_front(self)
         handler: Handler = self.front.handle
         self.server = Server(self.loop, *config.listen, handler, config.http, self.front.http_error)
--- a/stepknot/fronts/search/admin.py
+++ b/stepknot/fronts/search/admin.py
@@ -114,7 +114,7 @@
         return rows
 
     def stats(self) -> dict[str, Any]:
-        loop, pool = self.core.loop, self.core.pool
+        loop, pool = self.core.loop, self.queries.indices.pool
         return {"_nodes": {"total": 1, "successful": 1, "failed": 0}, "cluster_name": self.config.name, "nodes": {
             self.core.name: {
                 "name": self.core.name, "host": self.config.listen[0], "roles": [],
--- /dev/null
+++ b/stepknot/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's protocol: one more way in and out of the same broker."""
--- /dev/null
+++ b/stepknot/platform/config.py
@@ -0,0 +1,79 @@
+"""What the platform tells a broker: `LB_CONFIG` names a JSON file, read at the start and again at SIGHUP."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from stepknot import interface as api
+from stepknot.benchlink import parse_settings, seconds
+
+
+class Unreadable(Exception):
+    """What is wrong, and where."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    memory: int  # bytes
+    sockets: int
+    known: dict[str, Any]  # the list as last had, in discovery's form
+    settings: api.Settings
+    shards: int
+    streams: int  # parts that a connection to a node carries at once
+    connect_timeout: float
+    most_open: int  # queries and parts held
+
+
+def address(text: Any, where: str) -> tuple[str, int]:
+    host, _, port = str(text).rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise Unreadable(f"{where}: expected HOST:PORT, not {text!r}")
+    return host.strip("[]"), int(port)
+
+
+def read_config(data: bytes, where: str) -> Config:
+    try:
+        given = orjson.loads(data)
+    except ValueError as error:
+        raise Unreadable(f"{where}: not JSON: {error}") from None
+    try:
+        settings, limits = given["settings"], given["limits"]
+        allowed = settings["allowed"]
+        return Config(
+            name=str(given["name"]),
+            listen=address(given["listen"], f"{where}: listen"),
+            discovery=address(given["discovery"], f"{where}: discovery"),
+            seed=int(str(given["seed"]), 16),
+            memory=int(limits["memory_mb"]) * 1024 * 1024,
+            sockets=int(limits["sockets"]),
+            known=dict(given.get("known") or {}),
+            settings=parse_settings(settings),
+            shards=int(settings["family-info"]["ranges"]),
+            streams=max(int(allowed["streams-per-conn"]), 1),
+            connect_timeout=seconds(allowed["connect-timeout-ns"]),
+            most_open=int(allowed["open-cap"]),
+        )
+    except KeyError as error:
+        raise Unreadable(f"{where}: {error.args[0]!r} is missing") from None
+    except (ValueError, TypeError, AttributeError, IndexError) as error:
+        raise Unreadable(f"{where}: a value is of the wrong kind: {error}") from None
+
+
+def load(environment: Mapping[str, str]) -> Config:
+    path = environment.get("LB_CONFIG", "")
+    if not path:
+        raise Unreadable("LB_CONFIG: expected the path of a JSON file in this variable of the environment")
+    try:
+        data = Path(path).read_bytes()
+    except OSError as error:
+        raise Unreadable(f"LB_CONFIG: {path}: {error.strerror}") from None
+    return read_config(data, path)
--- /dev/null
+++ b/stepknot/platform/service.py
@@ -0,0 +1,157 @@
+"""The platform's broker: the loop, core and module of every broker, with the platform's protocol before and behind.
+
+Life: the list as last had serves until discovery speaks; `/healthz` says 200 from the first turn on. SIGHUP reads the
+configuration again and follows discovery's new address. SIGTERM: new connections are taken and served for `STAY`
+seconds, since the front still sends them, each answer ending its connection; then what is in work is finished.
+"""
+
+from __future__ import annotations
+
+import gc
+import random
+import signal
+import time
+from collections.abc import Callable
+from typing import Any
+
+from stepknot.broker.core import Core
+from stepknot.interface import ListKind, ListReceived, ServerState
+from stepknot.net.http import HttpError, HttpLimits, Request, Response
+from stepknot.net.loop import Coroutine, Loop
+from stepknot.net.server import Connection, Server
+from stepknot.platform import requests
+from stepknot.platform.config import Config, Unreadable
+from stepknot.platform.discovery import Discovery, NodeList, as_event, read_list
+from stepknot.platform.nodes import Nodes
+
+# Bounds of the protocol's own, the same at every deployment.
+LIMITS = HttpLimits(header=8 * 1024, url=1024, body=64 * 1024, first_byte=2.0, body_time=2.0, idle=4.0, write=3.0)
+CLIENTS_SHARE = 0.6  # of the descriptors; a third is what clients hold for requests
+OWN = 16  # descriptors for the loop, the listener, discovery and the logs
+STAY = 0.5  # seconds for which new connections still come after SIGTERM
+DISCOVERY_TIMEOUT = 1.0  # seconds for a connection to it
+COLLECT_EVERY = 50_000  # objects between two passes of the collector over the young
+
+Log = Callable[..., None]
+
+
+class Service:
+    def __init__(self, config: Config, log: Log, load_again: Callable[[], Config],
+                 clock: Callable[[], float] = time.monotonic, wall: Callable[[], float] = time.time) -> None:
+        self.config, self.log, self.load_again = config, log, load_again
+        chance = random.Random(config.seed)
+        self.loop = loop = Loop(clock, chance, on_error=self.on_task_error)
+        loop.on_slow_turn = lambda took, cpu: log("slow_turn", took=round(took, 3), cpu=round(cpu, 3),
+                                                  held=len(self.core.held), out=len(self.core.out))
+        settings = config.settings
+        self.clock_offset = clock() - wall()
+        self.nodes = Nodes(loop, config.streams, settings.parts_per_call, config.connect_timeout,
+                           settings.limits.idle_connection, config.sockets - OWN - self.most_clients(), log)
+        self.core = Core(loop, settings, chance.getrandbits(62), self.nodes, log, config.most_open, config.name,
+                         most_open=config.most_open, watch=lambda: self.discovery.ask())
+        known = self.read_known()
+        self.discovery = Discovery(loop, config.discovery, config.name, known, self.clock_offset, DISCOVERY_TIMEOUT,
+                                   self.take_list, self.list_failed)
+        if known is not None:
+            self.nodes.take_addresses(known.addresses, True)
+            self.core.take_list(as_event(known, ListKind.CACHED))
+        self.core.post(ListReceived(ListKind.CHANGES))  # the first turn: the module asks for the list
+        self.offer = requests.Service(settings.classes, config.shards)
+        self.open: set[str] = set()  # ids of clients' requests in work
+        self.server = Server(loop, *config.listen, self.handle, LIMITS, self.http_error)
+        self.stopping = False
+
+    def most_clients(self) -> int:
+        return int(self.config.sockets * CLIENTS_SHARE)
+
+    def on_task_error(self, name: str, error: BaseException) -> None:
+        """A task that failed unexpectedly is told loudly; the broker goes on for all others."""
+        self.core.counts["internal_errors"] += 1
+        self.log("internal_error", task=name, error=f"{type(error).__name__}: {error}", trace=error)
+
+    # --- the list
+
+    def read_known(self) -> NodeList | None:
+        try:
+            return read_list(self.config.known, self.clock_offset) if self.config.known else None
+        except Unreadable as error:
+            self.log("known_list_not_taken", why=str(error))
+            return None
+
+    def take_list(self, news: NodeList) -> None:
+        self.nodes.take_addresses(news.addresses, news.full)
+        self.core.take_list(as_event(news))
+        for entry in news.entries:
+            if entry.state is ServerState.GONE:
+                self.nodes.forget(entry.server)
+
+    def list_failed(self, why: str) -> None:
+        self.log("discovery_failed", why=why)
+        self.core.post(ListReceived(ListKind.FAILED))
+
+    # --- clients
+
+    def handle(self, request: Request, connection: Connection) -> Coroutine:
+        if request.path == "/healthz":
+            return Response(503 if self.stopping else 200, b"{}")
+        try:
+            ask = requests.read_ask(request, self.offer, request.arrived)
+        except requests.BadRequest as error:
+            self.core.counts["bad_requests"] += 1
+            return requests.error_answer(error.status, error.reason)
+        if ask.name in self.open:
+            return requests.error_answer(409, "a request of this id is in work")
+        self.open.add(ask.name)
+        try:
+            self.core.ask(ask)
+            connection.on_hang_up(lambda: self.core.gone(ask))
+            result = yield from ask.done.wait()
+        finally:
+            self.open.discard(ask.name)
+        return requests.make_answer(ask, result) if result is not None else None
+
+    def http_error(self, error: HttpError) -> Response:
+        self.core.counts["bad_requests"] += 1
+        return requests.error_answer(error.status, error.reason)
+
+    # --- life
+
+    def run(self) -> int:
+        loop = self.loop
+        loop.on_signal(self.stop, signal.SIGTERM, signal.SIGINT)
+        loop.on_signal(self.reload, signal.SIGHUP)
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(COLLECT_EVERY, 100, 1000)
+        self.log("serving", address=f"{self.config.listen[0]}:{self.server.port}", broker=self.config.name)
+        loop.run()
+        self.log("stopped", **self.summary())
+        return 0
+
+    def summary(self) -> dict[str, Any]:
+        return {**self.core.counts, "opened": self.nodes.opened, "spoilt": self.nodes.spoilt,
+                "lag_most": round(self.loop.lag_most, 3)}
+
+    def reload(self) -> None:
+        try:
+            config = self.load_again()
+        except Unreadable as error:
+            self.log("reload_refused", why=str(error))
+            return
+        self.log("reloaded", discovery=f"{config.discovery[0]}:{config.discovery[1]}")
+        self.discovery.move(config.discovery)
+
+    def stop(self) -> None:
+        if not self.stopping:
+            self.stopping = True
+            self.loop.spawn(self.ending(), "ending")
+
+    def ending(self) -> Coroutine:
+        self.log("stopping", held=len(self.core.held))
+        self.server.closing = True
+        yield from self.loop.sleep(STAY)
+        self.server.close()
+        while self.core.held or self.server.connections:
+            yield from self.loop.sleep(0.01)
+        self.nodes.close()
+        self.loop.stop()
