A replica that would be bypassed for its mean is chosen last

A log of the module by second showed why: of the parts that found no room, 9 in 10 were bypassed for time, all at one or two servers with nothing out and a mean of 190 to 350 ms, over the 285 ms that a query may wait here. Ruled out: the cap on what is held (13 of 2645), beta, short tries, connections (28 at once), the processor (a fifth of its share). Once such a server goes on it has nothing out, so choose() took it again and again, and place() refused all-parts queries for it until the mean was forgotten (MEMORY, 5 s).

Change: Aggregator.choose ranks last whom wait_at would bypass for time (too_late). The new test fails on the old code.

--- a/stepknot/logic.py
+++ b/stepknot/logic.py
@@ -275,12 +275,17 @@
         return capsule.credit >= 1
 
     def choose(self, query: Query, shard: int, tried: list[str]) -> Capsule | None:
-        """The replica with the fewest calls out; one formed in this turn takes a further part for nothing."""
-        def rank(capsule: Capsule) -> tuple[float, bool, float]:
+        """The replica with the fewest calls out; one formed in this turn takes a further part for nothing.
+
+        One that would be bypassed for its mean comes last: after a pause nothing is out there, it would be chosen
+        again and again, and each all-parts query be refused for it until the mean is forgotten.
+        """
+        def rank(capsule: Capsule) -> tuple[bool, float, bool, float]:
             count = self.load(capsule) + self.failed(capsule) + UNANSWERED * capsule.asked
             # Reports count by powers of two: all aggregators see the same one, and must not all follow it.
             count += int(math.log2(1 + self.others_at(capsule)))
-            return count + self.pooled(capsule), not self.joins(capsule), self.random.random()
+            return self.too_late(query, capsule), count + self.pooled(capsule), not self.joins(
+                capsule), self.random.random()
 
         holders = [each for each in self.holders(shard)
                    if each.entry.server not in tried and self.has_room(each)]
@@ -331,6 +336,10 @@
             capsule.failures.append(self.now + hold)
             self.fleet.told = -math.inf  # not all is well: ask
 
+    def too_late(self, query: Query, capsule: Capsule) -> bool:
+        """Whether the time left is too short for what this server was seen to take."""
+        return not query.first and query.wait_end - self.now < LEAST_TIME * self.measure(capsule)[0]
+
     def wait_at(self, query: Query, capsule: Capsule, share: float = 1.0, trial: bool = False) -> float:
         """How long a part may wait for this server: 0 for one at its bound and for a part to be bypassed."""
         if query.first:  # a second step is never shed: the first one's work would be for nothing
@@ -342,7 +351,7 @@
         wait = left if out < beta else 0.0
         if out > alpha and not query.kind.all_parts:
             wait = max(0.0, left * (beta - out) / (beta - alpha))
-        if wait >= mean and left >= LEAST_TIME * mean:
+        if wait >= mean and not self.too_late(query, capsule):
             return wait
         # A server with nothing out for a shortest wait has worked off what made it slow.
         return left if trial and out < 1 and self.now - capsule.used >= self.shortest_wait else 0.0
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -521,3 +521,19 @@
     driver.at(START + 2.9)
     driver.end(next(iter(driver.parts[query])), Outcome.TIMED_OUT, 2.9)
     assert driver.aggregator.capsules["s0a"].mean <= driver.settings.classes["late"].aim
+
+
+def test_a_server_that_stood_still_is_not_chosen_to_refuse_for() -> None:
+    """Nothing is out there once it went on, and its mean is over what a query may wait: others hold the shard."""
+    driver = Driver()
+    busy(driver, 20, 0.05)
+    driver.query("all", [0])
+    (stood,) = {send.server for send in driver.sends()}
+    paused = driver.settings.classes["all"].aim * 0.9
+    driver.at(driver.now + paused)
+    driver.handle(*[driver.ended(*key, Outcome.SERVED, paused) for key in driver.out()])
+    capsule = driver.aggregator.capsules[stood]
+    capsule.mean = paused  # as when all that was out there came back that late
+    finals = [driver.finals.get(driver.query("all", [0, 1])) for _ in range(12)]
+    assert finals == [None] * 12
+    assert stood not in {driver.attempts[part][0][0] for part, _ in driver.out()}
