--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -537,3 +537,20 @@
     finals = [driver.finals.get(driver.query("all", [0, 1])) for _ in range(12)]
     assert finals == [None] * 12
     assert stood not in {driver.attempts[part][0][0] for part, _ in driver.out()}
+
+
+def test_what_was_slow_by_its_queue_is_used_once_nothing_is_out_there() -> None:
+    """All holders stood still with many parts out: idle now, they are as quick as ever, and no query is refused."""
+    driver = Driver()
+    for capsule in driver.aggregator.capsules.values():
+        capsule.heard, capsule.heard_at = 50, driver.now
+        capsule.mean, capsule.out = 0.8 * driver.settings.classes["all"].aim, 20.0
+    assert [driver.finals.get(driver.query("all", [0, 1])) for _ in range(3)] == [None] * 3
+
+
+def test_what_was_slow_with_one_part_out_is_still_bypassed() -> None:
+    driver = Driver()
+    for capsule in driver.aggregator.capsules.values():
+        capsule.heard, capsule.heard_at = 50, driver.now
+        capsule.mean, capsule.out = 0.8 * driver.settings.classes["all"].aim, 1.0
+    assert isinstance(driver.finals.get(driver.query("all", [0, 1])), Refuse)
