A planned restart serves new connections to the end; clients' descriptors are bounded; tests

Three defects, each seen by a new test that the old code fails: - After SIGTERM a new connection was closed before its first request was read (Connection.serve_all looked at closing first), though the front still sends them for 0.4 s. Now answers end their connections for half a second, new ones are served, and no connection with unread bytes is closed. - After a change of address the old watch's own line made it end itself: an error in the loop. At six tenths of the descriptors the one that is missed least is ended: silent ones, then idle ones, then halves.

--- a/stepknot/net/server.py
+++ b/stepknot/net/server.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Generator
 from typing import Any
 
@@ -58,6 +59,8 @@
             self.server.loop.call_later(left, self.check_silence)
         elif self.parser.started:
             self.end_slow()
+        elif self.link.peek():  # just come, and not read yet
+            self.allow(LINGER)
         else:
             self.server.silent += 1
             self.link.close()
@@ -126,7 +129,7 @@
             return
         while True:
             while not parser.requests:
-                if server.closing and not parser.started:
+                if server.closing and not parser.started and link.peek() is None:
                     return
                 data, self.first = self.first or (yield from link.recv(CHUNK)), b""
                 if not data:
@@ -219,7 +222,7 @@
             arrived = self.free_at = self.server.loop.now
             if response is None or self.link.closed:
                 return False
-            close = not request.keep_alive or self.server.closing
+            close = not request.keep_alive or self.server.closing or self.server.leaving
             gate = self.server.gate
             yield from self.link.send(encode_response(response, request, close), self.server.limits.write,
                                       *((gate.settings.progress, gate.settings.grace) if gate is not None else ()))
@@ -256,8 +259,11 @@
         self.loop, self.handler, self.limits, self.error = loop, handler, limits, error
         self.connections: set[Connection] = set()
         self.closing = False
+        self.leaving = False  # each answer ends its connection; new ones are taken still
         self.gate: Any = None  # broker.gate.Gate, where connections are not simply taken
         self.silent = 0  # connections closed for silence
+        self.most = math.inf  # connections, where no gate looks after them
+        self.turned_away = 0  # connections closed to stay under it
         self.deserted = 0  # requests whose client was gone before their turn came
         self.listener: Listener = loop.listen(host, port, self.on_accept)
 
@@ -268,13 +274,32 @@
     def on_accept(self, link: Link, peer: tuple[Any, ...]) -> None:
         if self.gate is not None:
             self.gate.arrive(self, link, peer)
+        elif len(self.connections) >= self.most and not self.make_room():
+            self.turned_away += 1
+            link.close()
         else:
             self.connections.add(Connection(self, link, peer))
 
+    def make_room(self) -> bool:
+        """End the connection that is missed least, whether there was one: first those that never asked for anything,
+        then those between requests, then those whose request does not come; of these the one that has been at it for
+        longest. One whose next bytes wait unread is none of them."""
+        def rank(each: Connection) -> tuple[int, float]:
+            return (2, each.begun) if each.parser.started else (1, each.free_at) if each.free_at else (0, each.begun)
+
+        resting = [each for each in self.connections if not each.busy and not each.link.closed]
+        for each in sorted(resting, key=rank):
+            if each.link.peek() is None:
+                self.turned_away += 1
+                each.link.close()
+                self.connections.discard(each)
+                return True
+        return False
+
     def close(self) -> None:
         """Stop accepting; connections go as soon as no request of theirs is in work."""
         self.closing = True
         self.listener.close()
         for connection in list(self.connections):
-            if not connection.busy and not connection.parser.started:
+            if not connection.busy and not connection.parser.started and connection.link.peek() is None:
                 connection.link.close()
--- a/stepknot/platform/discovery.py
+++ b/stepknot/platform/discovery.py
@@ -116,7 +116,7 @@
         task, why, link = self.newest, "it ended", None
         try:
             link = yield from self.loop.connect(*self.where, self.timeout)
-            yield from self.read(link)
+            yield from self.read(link, task)
         except Expired:
             why = "silent"
         except (OSError, Unreadable) as error:
@@ -128,7 +128,7 @@
             self.newest = None
             self.on_failed(why)
 
-    def read(self, link: Link) -> Coroutine:
+    def read(self, link: Link, task: Task | None) -> Coroutine:
         host = f"{self.where[0]}:{self.where[1]}"
         yield from link.send(f"GET /v1/servers?follow=1&since={self.version} HTTP/1.1\r\nhost: {host}\r\n"
                              f"user-agent: stepknot/{self.name}\r\n\r\n".encode())
@@ -141,7 +141,8 @@
             if reader.status and reader.status != 200:
                 raise Unreadable(f"status {reader.status}")
             for line in lines:
-                self.end_older()
+                if task is self.newest:
+                    self.end_older()
                 if line.strip():
                     self.take(line)
 
--- a/stepknot/platform/service.py
+++ b/stepknot/platform/service.py
@@ -59,6 +59,7 @@
         self.offer = requests.Service(settings.classes, config.shards)
         self.open: set[str] = set()  # ids of clients' requests in work
         self.server = Server(loop, *config.listen, self.handle, LIMITS, self.http_error)
+        self.server.most = self.most_clients()
         self.stopping = False
 
     def most_clients(self) -> int:
@@ -148,7 +149,7 @@
 
     def ending(self) -> Coroutine:
         self.log("stopping", held=len(self.core.held))
-        self.server.closing = True
+        self.server.leaving = True
         yield from self.loop.sleep(STAY)
         self.server.close()
         while self.core.held or self.server.connections:
--- /dev/null
+++ b/tests/platform/test_nodes.py
@@ -0,0 +1,291 @@
+"""Connections to nodes, as the sockets show them."""
+
+from __future__ import annotations
+
+import socket
+
+import pytest
+
+from stepknot.boxes.side import Parcel
+from stepknot.interface import Outcome
+from stepknot.platform.frames import Part
+from stepknot.platform.nodes import Connection, Nodes
+from tests.broker.scripted import WAIT, until
+from tests.platform.test_frames import SPOILT
+from tests.platform.world import Call, World, answer, frame, pause, world
+
+
+def hold(call: Call) -> None:
+    """Answers nothing."""
+
+
+def outcomes(found: World) -> dict[Outcome, int]:
+    counts = found.service.core.counts
+    return {each: counts[f"ended_{each.name.lower()}"] for each in Outcome if counts[f"ended_{each.name.lower()}"]}
+
+
+def move(found: World, listener: socket.socket) -> None:
+    """From now on s-0 is there."""
+    until(lambda: found.service.discovery.version == 10)
+    found.call(lambda: found.service.nodes.take_addresses([("s-0", *listener.getsockname())], False))
+
+
+def connections(found: World, server: str = "s-0") -> list[Connection]:
+    return found.service.nodes.nodes[server].connections
+
+
+def test_calls_share_a_connection_and_are_answered_in_any_order() -> None:
+    with world() as found:
+        found.nodes[0].script = hold
+        clients = [found.client() for _ in range(4)]
+        for client in clients:
+            client.sock.sendall(found.request())
+        until(lambda: len(found.nodes[0].calls) == 4)
+        assert len(found.nodes[0].socks) == 1
+        for number, call in enumerate(reversed(found.nodes[0].calls)):
+            call.answer(f"v{number}")
+        assert sorted(client.read().body["matches"][0]["payload"] for client in clients) == ["v0", "v1", "v2", "v3"]
+
+
+def test_a_burst_opens_no_more_connections_than_its_calls_need() -> None:
+    with world(streams_per_conn=3) as found:
+        found.nodes[0].script = hold
+        clients = [found.client() for _ in range(7)]
+        for client in clients:
+            client.sock.sendall(found.request())
+        until(lambda: len(found.nodes[0].calls) == 7)
+        assert len(found.nodes[0].socks) == 3
+        for call in list(found.nodes[0].calls):
+            call.answer()
+        assert [client.read().status for client in clients] == [200] * 7
+
+
+def test_one_part_is_given_up_and_the_connection_lives_on() -> None:
+    with world() as found:
+        found.nodes[0].script = hold
+        leaver, stayer = found.client(), found.client()
+        leaver.sock.sendall(found.request(x_txn="a"))
+        stayer.sock.sendall(found.request(x_txn="b"))
+        until(lambda: len(found.nodes[0].calls) == 2)
+        leaver.sock.close()
+        until(lambda: found.nodes[0].given_up == ["a.0"])
+        call = found.nodes[0].calls[0]
+        call.send(answer("a.0", "late"))  # crossed with its being given up
+        call.send(answer("b.0", "v0"))
+        assert stayer.read().status == 200 and found.nodes[0].ended == 0
+
+
+def test_a_late_answer_never_passes_for_a_later_attempts() -> None:
+    """The same part again at the only holder goes on another connection, while the first may still bring its answer."""
+    with world() as found:
+        service, part = found.service, "a.0"
+        found.nodes[0].script = hold
+        first = found.client()
+        first.sock.sendall(found.request(x_txn="a"))
+        until(lambda: len(found.nodes[0].calls) == 1)
+        first.sock.close()
+        until(lambda: part in found.nodes[0].given_up and not service.open)
+        again = found.client()
+        again.sock.sendall(found.request(x_txn="a"))
+        until(lambda: len(found.nodes[0].calls) == 2)
+        late, now = found.nodes[0].calls
+        assert late.sock is not now.sock
+        late.send(answer(part, "old"))
+        pause(0.05)
+        now.send(answer(part, "new"))
+        assert again.read().body["matches"] == [{"segment": 0, "payload": "new"}]
+
+
+@pytest.mark.parametrize("name", SPOILT)
+def test_spoilt_bytes_end_their_connection_and_no_other(name: str) -> None:
+    with world() as found:
+        found.nodes[0].script = lambda call: call.send(SPOILT[name])
+        found.nodes[1].script = hold
+        waiting = found.client()
+        waiting.sock.sendall(found.request("list", (1,)))
+        until(lambda: found.nodes[1].calls)
+        reply = found.ask("move", (0,), x_remaining="700m")
+        assert reply.status == 500  # it may have run
+        assert outcomes(found)[Outcome.RESET] >= 1 and found.nodes[0].ended >= 1
+        found.nodes[1].calls[0].answer()
+        assert waiting.read().status == 200
+
+
+EXTRA = {"a second copy": b"copy", "noise": b"\xff" * 40, "an answer to nobody": answer("nobody.0", "x"),
+         "a probe's answer unasked for": frame("T", b"util=0.5")}
+
+
+@pytest.mark.parametrize("name", EXTRA)
+def test_what_comes_behind_a_good_answer_ends_the_connection_and_the_answer_counts(name: str) -> None:
+    with world() as found:
+        def script(call: Call) -> None:
+            good = answer(call.parts[0][0], "v0")
+            call.send(good + (good if name == "a second copy" else EXTRA[name]))
+
+        found.nodes[0].script = script
+        assert [found.ask().status for _ in range(3)] == [200] * 3
+        until(lambda: found.nodes[0].ended >= 2)
+        assert outcomes(found) == {Outcome.SERVED: 3}
+
+
+def test_an_answer_counts_though_its_report_cannot_be_read() -> None:
+    with world() as found:
+        found.nodes[0].script = lambda call: call.answer(report="inflight=\x01,util=very")
+        assert found.ask().status == 200
+        found.nodes[0].script = lambda call: call.answer(report="inflight=5,util=0.1")
+        assert found.ask().status == 200
+        assert found.call(lambda: found.service.core.module.capsules["s-0"].others) == 5.0
+
+
+def test_a_connection_that_ends_after_the_call_was_taken_may_have_left_it_to_run() -> None:
+    with world() as found:
+        found.nodes[0].script = lambda call: call.close(reset=True)
+        assert found.ask("move").status == 500
+        assert set(outcomes(found)) == {Outcome.RESET}
+
+
+def test_a_refused_connection_proves_that_nothing_ran() -> None:
+    with world() as found:
+        found.nodes[0].close()
+        assert found.ask("move").status == 503  # trying again is harmless
+        assert set(outcomes(found)) == {Outcome.NOT_CONNECTED}
+
+
+def test_a_connection_that_never_comes_up_is_waited_for_no_longer_than_the_settings_say() -> None:
+    with world(nodes=4) as found:
+        full = socket.socket()  # its queue is full: whoever connects hears nothing
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        fillers = [socket.socket() for _ in range(4)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(full.getsockname())
+        move(found, full)
+        assert {found.ask().status for _ in range(6)} == {200}  # the other holder answers
+        assert outcomes(found)[Outcome.NOT_CONNECTED] >= 1
+        until(lambda: not connections(found))
+        for each in (full, *fillers):
+            each.close()
+
+
+def test_a_silent_node_holds_nothing_beyond_its_time() -> None:
+    with world() as found:
+        found.nodes[0].script = hold
+        assert found.ask(x_remaining="600m").status == 503
+        until(lambda: not found.service.core.out)
+        conn, = connections(found)
+        assert not conn.waiting and found.nodes[0].given_up == [f"t{found.asked:06d}.0"]
+
+
+def test_an_idle_connection_is_closed_before_the_node_would() -> None:
+    with world(conn_idle_ns=0.5e9) as found:
+        assert found.ask().status == 200
+        until(lambda: found.nodes[0].ended == 1)
+        assert found.ask().status == 200
+        assert outcomes(found) == {Outcome.SERVED: 2}
+
+
+def test_a_node_that_is_gone_from_the_list_is_forgotten_with_its_connections() -> None:
+    with world(nodes=4) as found:
+        until(lambda: found.discovery.watches)
+        for _ in range(8):
+            assert found.ask("list", (0, 1)).status == 200
+        found.discovery.change(found.row(2, "left"))
+        until(lambda: "s-2" not in found.service.nodes.nodes)
+
+
+def test_a_partly_taken_frame_is_finished_and_what_waits_behind_it_never_ran() -> None:
+    """The node reads nothing: its window fills, and the connection breaks with frames unwritten."""
+    with world(streams_per_conn=400) as found:
+        nodes = found.service.nodes
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.settimeout(WAIT)
+        move(found, listener)
+        ended: list[Outcome] = []
+        parcels = [Parcel(Part(b"a%d.0" % number, 0, b"x" * 30_000), "a", 5.0) for number in range(300)]
+
+        def send() -> None:
+            nodes.on_reply = lambda parcel, reply, load: ended.append(reply.outcome)
+            nodes.send("s-0", parcels)
+
+        found.call(send)
+        sock, _ = listener.accept()
+        until(lambda: connections(found)[0].flushing)
+        found.call(lambda: nodes.give_up(parcels[-1]))  # unwritten: nothing is said of it
+        assert len(connections(found)[0].given_up) == 0
+        sock.close()
+        until(lambda: len(ended) == 299)
+        assert {Outcome.RESET, Outcome.NOT_CONNECTED} == set(ended)
+        listener.close()
+
+
+def test_probes_are_answered_in_their_turn_and_a_late_one_tells_nothing_of_a_new_one() -> None:
+    with world() as found:
+        nodes: Nodes = found.service.nodes
+        ended: list[tuple[Outcome, dict[str, float]]] = []
+        held: list[socket.socket] = []
+        found.nodes[0].on_probe = held.append
+
+        def ask() -> None:
+            nodes.probe("s-0", lambda outcome, load: ended.append((outcome, load)))
+
+        found.call(ask)
+        until(lambda: ended == [(Outcome.TIMED_OUT, {})])
+        found.call(ask)  # the first is still unanswered on the one connection: none is sent beside it
+        until(lambda: len(ended) == 2)
+        assert found.nodes[0].probes == 1
+        held[0].sendall(frame("T", b"inflight=9"))
+        until(lambda: not connections(found)[0].probes)
+        found.nodes[0].on_probe = lambda sock: sock.sendall(frame("T", b"inflight=1"))
+        found.call(ask)
+        until(lambda: len(ended) == 3)
+        assert ended == [(Outcome.TIMED_OUT, {}), (Outcome.TIMED_OUT, {}), (Outcome.SERVED, {"inflight": 1.0})]
+
+
+def test_the_module_counts_out_just_what_waits_on_a_connection() -> None:
+    with world(nodes=4) as found:
+        service = found.service
+        wrong: list[tuple[int, int]] = []
+
+        def check() -> None:
+            module = sum(len(capsule.calls) for capsule in service.core.module.capsules.values())
+            sockets = sum(len(conn.waiting) for conn in service.nodes.all())
+            if not module == sockets == len(service.core.out):
+                if not service.core.inbox:  # else the module hears of it in this very turn's successor
+                    wrong.append((module, sockets))
+
+        found.call(lambda: service.loop.turn_hooks.append(check))
+        for node in found.nodes:
+            node.script = hold
+        clients = [found.client() for _ in range(6)]
+        for client in clients:
+            client.sock.sendall(found.request("list", (0, 1)))
+        until(lambda: sum(len(node.calls) for node in found.nodes) == 12)
+        for node in found.nodes:
+            for call in list(node.calls):
+                call.answer()
+        assert [client.read().status for client in clients] == [200] * 6
+        assert not wrong
+
+
+def test_thousands_of_queries_through_changing_nodes_leave_nothing_behind() -> None:
+    with world(nodes=4) as found:
+        until(lambda: found.discovery.watches)
+        service, client = found.service, found.client()
+        for number in range(1500):
+            if number % 50 == 25:
+                place = 2 + number // 50 % 2
+                found.discovery.change(found.row(place, "left", id=f"s-{place}.{number - 100}"))
+                found.discovery.change(found.row(place, id=f"s-{place}.{number}"))
+            client.sock.sendall(found.request("list", (number % 2,)))
+            assert client.read().status == 200
+        until(lambda: not service.core.inbox and not service.core.expiries)
+        core, module = service.core, service.core.module
+        tables = found.call(lambda: [len(each) for each in (
+            core.held, core.pieces, core.out, core.expiries, module.queries, module.fresh, module.attempts,
+            service.open)])
+        assert tables == [0] * len(tables)
+        assert found.call(lambda: sum(len(conn.given_up) for conn in service.nodes.all())) <= 10
+        assert len(service.nodes.nodes) <= 8 and len(core.servers) <= 8 and len(module.capsules) <= 8
+
+
--- /dev/null
+++ b/tests/platform/test_requests.py
@@ -0,0 +1,224 @@
+"""What a client is owed for each request, on the socket: bad ones get a 4xx and never reach the module."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from tests.broker.scripted import Client, until
+from tests.platform.world import Call, World, world
+
+PARTS = [{"segment": 0, "boost": 0.5}, {"segment": 1, "boost": 0.5}]
+
+
+def body(segments: Any = None, text: Any = "t", **more: Any) -> dict[str, Any]:
+    return {"segments": PARTS if segments is None else segments, "text": text} | more
+
+
+def test_a_query_is_answered_with_the_value_of_each_part() -> None:
+    with world() as found:
+        reply = found.ask("list", (0, 1), x_txn="9b1f03aa5c7e2d41")
+        assert reply.status == 200
+        assert reply.body["all_in"] is True
+        assert sorted(reply.body["matches"], key=lambda each: each["segment"]) == [
+            {"segment": 0, "payload": "v0"}, {"segment": 1, "payload": "v1"}]
+        (part,) = found.nodes[1].calls[0].parts
+        assert part[0] == "9b1f03aa5c7e2d41.1" and part[1] == 1 and part[3] == "c41e77d0"
+        assert "k=" not in part[2]
+
+
+def test_a_keyed_query_carries_its_key_and_the_wait_to_each_node() -> None:
+    with world() as found:
+        assert found.ask("move", (0,)).status == 200
+        pairs = dict(pair.split("=") for pair in found.nodes[0].calls[0].parts[0][2].split(","))
+        assert pairs["k"] == "5c0f6e1a2b3d4c59a8b7c6d5e4f30211" and 0 < int(pairs["d"]) <= 2000
+
+
+BAD: dict[str, tuple[int, dict[str, Any]]] = {
+    "no id": (400, {"x_txn": None}),
+    "an id that cannot be a part's": (400, {"x_txn": "a b"}),
+    "no time": (400, {"x_remaining": None}),
+    "a time that is not a number": (400, {"x_remaining": "soonm"}),
+    "a time of NaN": (400, {"x_remaining": "nanm"}),
+    "an infinite time": (400, {"x_remaining": "infm"}),
+    "a negative time": (400, {"x_remaining": "-5m"}),
+    "a time without a unit": (400, {"x_remaining": "480"}),
+    "a time of another unit": (400, {"x_remaining": "4s"}),
+    "a huge time": (400, {"x_remaining": "9" * 400 + "m"}),
+    "an unknown class": (404, {"path": "/nothing"}),
+    "another method": (405, {"method": "PUT"}),
+    "no key in a keyed class": (400, {"kind": "move", "idempotency_key": None}),
+    "a key that would end its list": (400, {"kind": "move", "idempotency_key": "a,d=1"}),
+    "no JSON": (400, {"body": b"{"}),
+    "deep JSON": (400, {"body": b"[" * 60000}),
+    "no object": (400, {"body": [1]}),
+    "no text": (400, {"body": {"segments": PARTS}}),
+    "a text that is none": (400, {"body": body(text=5)}),
+    "no segments": (400, {"body": body([])}),
+    "segments that are none": (400, {"body": body({"segment": 0})}),
+    "a segment that is none": (400, {"body": body([7])}),
+    "a shard that does not exist": (400, {"body": body([{"segment": 2, "boost": 1}])}),
+    "a negative shard": (400, {"body": body([{"segment": -1, "boost": 1}])}),
+    "a shard that is true": (400, {"body": body([{"segment": True, "boost": 1}])}),
+    "a shard that is a fraction": (400, {"body": body([{"segment": 0.5, "boost": 1}])}),
+    "a shard twice": (400, {"body": body([PARTS[0], PARTS[0]])}),
+    "a weight out of range": (400, {"body": body([{"segment": 0, "boost": 2}, {"segment": 1, "boost": -1}])}),
+    "a weight of nothing": (400, {"body": body([{"segment": 0, "boost": 0}, {"segment": 1, "boost": 1}])}),
+    "a weight that is none": (400, {"body": body([{"segment": 0, "boost": "1"}])}),
+    "weights that do not add up": (400, {"body": body([{"segment": 0, "boost": 0.5}, {"segment": 1, "boost": 0.4}])}),
+    "a work that is none": (400, {"body": body([{"segment": 0, "boost": 1, "work": "much"}])}),
+    "an affinity that is none": (400, {"body": body([{"segment": 0, "boost": 1, "affinity": "x"}])}),
+    "a long text": (413, {"body": body([{"segment": 0, "boost": 1}], "t" * 40000)}),
+}
+
+
+@pytest.fixture(scope="module")
+def served() -> Any:
+    with world() as found:
+        yield found
+
+
+@pytest.mark.parametrize("name", BAD)
+def test_a_bad_request_gets_its_error_and_never_reaches_the_module(name: str, served: World) -> None:
+    status, changes = BAD[name]
+    before = served.service.core.counts["queries"]
+    assert served.ask(**changes).status == status
+    assert served.service.core.counts["queries"] == before
+    assert not served.service.open
+
+
+FRAMING = {
+    "a length and chunks": (b"POST /list HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\ntransfer-encoding: chunked\r\n\r\n"
+                            b"0\r\n\r\nPOST /list HTTP/1.1\r\nhost: x\r\n\r\n"),
+    "two lengths": b"POST /list HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\ncontent-length: 5\r\n\r\nabcde",
+    "a negative length": b"POST /list HTTP/1.1\r\nhost: x\r\ncontent-length: -4\r\n\r\nabcd",
+    "a length that overflows": b"POST /list HTTP/1.1\r\nhost: x\r\ncontent-length: 99999999999999999999999\r\n\r\n",
+    "a length over the bound": b"POST /list HTTP/1.1\r\nhost: x\r\ncontent-length: 65537\r\n\r\n",
+    "chunks over the bound": b"POST /list HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n" + b"4000\r\n" + (
+        b"x" * 0x4000 + b"\r\n4000\r\n") * 5,
+    "an endless head": b"POST /list HTTP/1.1\r\nhost: x\r\n" + b"x-more: yes and on\r\n" * 2000,
+    "an endless target": b"POST /" + b"list" * 5000,
+    "no HTTP": b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03" * 10,
+}
+
+
+@pytest.mark.parametrize("name", FRAMING)
+def test_what_cannot_be_read_gets_an_error_and_a_close_and_nothing_behind_it_is_read(name: str, served: World) -> None:
+    before = served.service.core.counts["queries"]
+    client = served.client()
+    client.sock.sendall(FRAMING[name])
+    reply = client.read()
+    assert 400 <= reply.status < 500
+    assert client.rest() == b""
+    assert served.service.core.counts["queries"] == before
+
+
+def test_a_client_that_is_busy_sending_sixty_megabytes_gets_its_answer(served: World) -> None:
+    client = served.client()
+    client.sock.settimeout(6.0)
+    client.sock.sendall(b"POST /list HTTP/1.1\r\nhost: x\r\ncontent-length: 60000000\r\n\r\n")
+    try:
+        for _ in range(60):
+            client.sock.sendall(b"x" * 1_000_000)
+    except OSError:
+        pass  # the broker ended it meanwhile
+    assert client.read().status == 413
+
+
+def test_an_id_that_is_open_is_refused_and_the_first_of_it_is_answered() -> None:
+    with world() as found:
+        found.nodes[0].script = lambda call: None
+        first, second = found.client(), found.client()
+        first.sock.sendall(found.request(x_txn="same"))
+        until(lambda: found.nodes[0].calls)
+        second.sock.sendall(found.request(x_txn="same"))
+        assert second.read().status == 409
+        found.nodes[0].calls[0].answer()
+        assert first.read().status == 200
+        second.sock.sendall(found.request(x_txn="same"))  # it is over: the id is free again
+        until(lambda: len(found.nodes[0].calls) == 2)
+        found.nodes[0].calls[1].answer()
+        assert second.read().status == 200
+
+
+def test_two_requests_written_back_to_back_are_answered_in_order() -> None:
+    with world() as found:
+        client = found.client()
+        client.sock.sendall(found.request("list", (0,)) + found.request("list", (1,)))
+        assert [client.read().body["matches"][0]["payload"] for _ in range(2)] == ["v0", "v1"]
+
+
+def test_a_refusal_tells_when_to_return_and_a_failure_is_no_refusal() -> None:
+    with world() as found:
+        for node in found.nodes:
+            node.script = lambda call: call.answer("", "ERROR")
+        reply = found.ask("list")
+        assert reply.status == 503 and 0 < float(reply.headers["retry-after"]) <= 1.0
+        assert found.ask("move").status == 500  # it may have run
+
+
+def test_a_partial_answer_lists_just_what_is_in_and_is_not_marked_whole() -> None:
+    with world() as found:
+        found.nodes[1].script = lambda call: call.answer("", "ERROR")
+        reply = found.ask("sum", (0, 1))
+        assert reply.status == 200
+        assert reply.body == {"all_in": False, "matches": [{"segment": 0, "payload": "v0"}]}
+
+
+def test_over_the_cap_on_what_is_open_a_query_is_refused_at_once() -> None:
+    with world(open_cap=5) as found:
+        found.nodes[0].script = lambda call: None
+        clients = [found.client() for _ in range(2)]
+        for client in clients:
+            client.sock.sendall(found.request())
+        until(lambda: len(found.nodes[0].calls) == 2)
+        assert found.ask().status == 503
+        for call in list(found.nodes[0].calls):
+            call.answer()
+        assert [client.read().status for client in clients] == [200, 200]
+
+
+def test_a_client_that_goes_away_has_its_parts_given_up() -> None:
+    with world() as found:
+        found.nodes[0].script = lambda call: None
+        client = found.client()
+        client.sock.sendall(found.request(x_txn="gone"))
+        until(lambda: found.nodes[0].calls)
+        client.sock.close()
+        until(lambda: found.nodes[0].given_up == ["gone.0"])
+        assert not found.call(lambda: (found.service.core.held, found.service.core.out, found.service.open))[0]
+
+
+def test_silence_and_half_a_request_are_closed_within_three_seconds() -> None:
+    with world() as found:
+        silent, half = found.client(), found.client()
+        half.sock.sendall(b"POST /list HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n\r\n{")
+        for client in (silent, half):
+            client.sock.settimeout(2.8)
+            client.rest()  # raises TimeoutError where it is not closed
+
+
+def test_silent_connections_by_hundreds_leave_room_for_whoever_asks() -> None:
+    with world() as found:
+        silent = [found.connect() for _ in range(300)]
+        assert found.ask().status == 200
+        server = found.service.server
+        assert found.call(lambda: len(server.connections)) <= server.most < 256
+        assert server.turned_away >= 300 - server.most
+        for sock in silent:
+            sock.close()
+
+
+def test_hundreds_at_once_get_one_answer_each() -> None:
+    def late(call: Call) -> None:
+        call.answer()
+
+    with world(nodes=4) as found:
+        for node in found.nodes:
+            node.script = late
+        clients: list[Client] = [found.client() for _ in range(100)]
+        for client in clients:
+            client.sock.sendall(found.request("list", (0, 1)))
+        assert {client.read().status for client in clients} <= {200, 503}
+        assert all(client.silent_for(0.001) for client in clients)
--- /dev/null
+++ b/tests/platform/world.py
@@ -0,0 +1,292 @@
+"""The platform around one broker, on loopback: scripted nodes, discovery, and the broker itself on a thread."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+import orjson
+
+from stepknot.platform.config import Config, read_config
+from stepknot.platform.service import Service
+from tests.broker.scripted import WAIT, Answer, Client
+
+Script = Callable[["Call"], None]
+
+
+def profile(**changes: Any) -> dict[str, Any]:
+    """Settings under the simulator's names; figures are made up. `changes`: of `allowed`, and of classes by name."""
+    lanes = [
+        {"name": "list", "slo-ns": 800e6, "deadline-ns": 2000e6, "points": 1.0, "late-value": 0.2,
+         "idempotency": "idempotent"},
+        {"name": "move", "slo-ns": 800e6, "deadline-ns": 2000e6, "points": 2.0, "late-value": 0.2,
+         "idempotency": "deduplicated", "window-ns": 2000e6},
+        {"name": "sum", "slo-ns": 800e6, "deadline-ns": 2000e6, "points": 3.0, "late-value": 0.0,
+         "idempotency": "idempotent"},
+    ]
+    return {
+        "allowed": {"cancelling": True, "conn-idle-ns": 30e9, "connect-timeout-ns": 250e6, "max-attempts": 3,
+                    "max-retry-after-ns": 1000e6, "may-duplicate": False, "open-cap": 400, "probing": False,
+                    "retry-after": True, "streams-per-conn": 8} | changes,
+        "balancers": 1, "discovery": "ask", "lanes": lanes, "period-ns": 1e6, "counted-by": "request",
+        "family-info": {"cells": 2, "class-fetch": [0, 0, 0], "class-floor": [1.0, 1.0, 0.5],
+                        "class-need": [1.0, 1.0, 1.0], "parts-a-call": 1, "partial-earns": [0.9, 0.9, 0.9],
+                        "ranges": 2, "span": 1},
+        "rules": {"ask-within-ns": 2e9, "cold-from": 0.3, "cold-ns": 1e9, "drain-grace-ns": 500e6, "fall-ns": 1e9,
+                  "tip-multiple": 2.5},
+    }
+
+
+@dataclass
+class Call:
+    """A frame `R` as a node's socket got it."""
+
+    node: Node
+    sock: socket.socket
+    parts: list[tuple[str, int, str, str]]  # id, shard, list, text
+
+    def answer(self, value: str | None = None, end: str = "OK", report: str = "inflight=0,util=0.1",
+               score: str = "7") -> None:
+        for part, shard, _, _ in self.parts:
+            self.send(answer(part, f"v{shard}" if value is None else value, end, report, score))
+
+    def send(self, data: bytes) -> None:
+        self.sock.sendall(data)
+
+    def close(self, reset: bool = False) -> None:
+        if reset:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+        self.sock.shutdown(socket.SHUT_RDWR) if not reset else None
+        self.sock.close()
+
+
+def frame(letter: str, rest: bytes = b"") -> bytes:
+    return (len(rest) + 1).to_bytes(4, "little") + letter.encode() + rest
+
+
+def answer(part: str, value: str, end: str = "OK", report: str = "-", score: str = "7") -> bytes:
+    return frame("Y", f"{part} {end} {score} {report}\n{value}".encode())
+
+
+class Node:
+    """Listens on a port of its own; each call runs the script in force when it came."""
+
+    def __init__(self, script: Script = Call.answer, backlog: int = 100) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=backlog)
+        self.port: int = self.listener.getsockname()[1]
+        self.script = script
+        self.calls: list[Call] = []
+        self.given_up: list[str] = []
+        self.probes = 0
+        self.on_probe: Callable[[socket.socket], None] = lambda sock: sock.sendall(frame("T", b"inflight=0,util=0.1"))
+        self.socks: list[socket.socket] = []
+        self.ended = 0  # connections that the broker ended
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                return
+            self.socks.append(sock)
+            threading.Thread(target=self.converse, args=(sock,), daemon=True).start()
+
+    def converse(self, sock: socket.socket) -> None:
+        data = b""
+        try:
+            while chunk := sock.recv(65536):
+                data += chunk
+                while len(data) >= 4 and len(data) >= 4 + (size := int.from_bytes(data[:4], "little")):
+                    letter, rest, data = data[4:5], data[5:4 + size], data[4 + size:]
+                    self.take(sock, letter, rest)
+        except OSError:
+            pass
+        self.ended += 1
+
+    def take(self, sock: socket.socket, letter: bytes, rest: bytes) -> None:
+        if letter == b"A":
+            self.given_up.append(rest.decode())
+        elif letter == b"T":
+            self.probes += 1
+            self.on_probe(sock)
+        elif letter == b"R":
+            parts = []
+            while rest:
+                line, _, rest = rest.partition(b"\n")
+                part, shard, pairs, length = line.decode().split(" ")
+                parts.append((part, int(shard), pairs, rest[:int(length)].decode()))
+                rest = rest[int(length):]
+            call = Call(self, sock, parts)
+            self.calls.append(call)
+            self.script(call)
+
+    def close(self) -> None:
+        for sock in [self.listener, *self.socks]:
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+            sock.close()
+
+
+class Discovery:
+    """Serves the list to watches. `mood`: serve, refuse (a 503), silent (accepts and says nothing)."""
+
+    def __init__(self, rows: list[dict[str, Any]], version: int = 10) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.port: int = self.listener.getsockname()[1]
+        self.rows, self.version, self.mood = rows, version, "serve"
+        self.asked: list[str] = []  # the targets of requests
+        self.watches: list[socket.socket] = []
+        self.accepted = 0
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                return
+            self.accepted += 1
+            threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
+
+    def serve(self, sock: socket.socket) -> None:
+        data = b""
+        while b"\r\n\r\n" not in data:
+            chunk = sock.recv(65536)
+            if not chunk:
+                return
+            data += chunk
+        self.asked.append(data.split(b" ")[1].decode())
+        self.watches.append(sock)
+        if self.mood == "refuse":
+            sock.sendall(b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n")
+        elif self.mood == "serve":
+            sock.sendall(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+            self.say(sock, self.rows, True)
+
+    def say(self, sock: socket.socket, rows: list[dict[str, Any]], full: bool = False) -> None:
+        self.say_line(sock, orjson.dumps({"version": self.version, "full": full, "servers": rows}) + b"\n")
+
+    def say_line(self, sock: socket.socket, line: bytes) -> None:
+        sock.sendall(b"%x\r\n%s\r\n" % (len(line), line))
+
+    def change(self, row: dict[str, Any]) -> None:
+        self.version += 1
+        self.say(self.watches[-1], [row])
+
+    def close(self) -> None:
+        for sock in [self.listener, *self.watches]:
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+            sock.close()
+
+
+@dataclass
+class World:
+    service: Service
+    nodes: list[Node]
+    discovery: Discovery
+    config: Config
+    given: dict[str, Any]
+    thread: threading.Thread
+    logged: list[tuple[str, dict[str, Any]]] = field(default_factory=list)
+    asked: int = 0
+
+    def row(self, number: int, state: str = "active", **changes: Any) -> dict[str, Any]:
+        return row(self.nodes[number], number, state) | changes
+
+    def connect(self) -> socket.socket:
+        return socket.create_connection(("127.0.0.1", self.service.server.port), timeout=WAIT)
+
+    def client(self) -> Client:
+        return Client(self.connect())
+
+    def request(self, kind: str = "list", shards: tuple[int, ...] = (0,), **changes: Any) -> bytes:
+        self.asked += 1
+        return request(kind, shards, **({"x_txn": f"t{self.asked:06d}"} | changes))
+
+    def ask(self, kind: str = "list", shards: tuple[int, ...] = (0,), **changes: Any) -> Answer:
+        client = self.client()
+        client.sock.sendall(self.request(kind, shards, **changes))
+        return client.read()
+
+    def call(self, what: Callable[[], Any]) -> Any:
+        """Run on the broker's loop, and hand back what came of it."""
+        done = threading.Event()
+        result: list[Any] = []
+        self.service.loop.call_at(0.0, lambda: (result.append(what()), done.set()))  # type: ignore[func-returns-value]
+        self.service.loop.network.wake()
+        assert done.wait(WAIT)
+        return result[0]
+
+    def events(self, name: str) -> list[dict[str, Any]]:
+        return [fields for event, fields in self.logged if event == name]
+
+
+def request(kind: str, shards: tuple[int, ...], *, body: Any = None, path: str = "", method: str = "POST",
+            extra: str = "", **headers: str | None) -> bytes:
+    """A query as a usual client sends it, but for what is asked to be otherwise; a header of None is left out."""
+    if body is None:
+        body = {"segments": [{"segment": each, "boost": 1 / len(shards), "work": 9000} for each in shards],
+                "text": "c41e77d0"}
+    data = body if isinstance(body, bytes) else orjson.dumps(body)
+    usual: dict[str, str | None] = {"x_txn": "9b1f", "x_remaining": "1500m", "content_length": str(len(data))}
+    if kind == "move":
+        usual["idempotency_key"] = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+    lines = [f"{name.replace('_', '-')}: {value}\r\n" for name, value in (usual | headers).items()
+             if value is not None]
+    return f"{method} {path or '/' + kind} HTTP/1.1\r\nhost: x\r\n{''.join(lines)}{extra}\r\n".encode() + data
+
+
+def row(node: Node, number: int, state: str = "active") -> dict[str, Any]:
+    return {"id": f"s-{number}", "addr": f"127.0.0.1:{node.port}", "zone": "a", "kind": "m", "cell": number % 2,
+            "state": state, "weight": 1.0, "started_ms": 0}
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return int(sock.getsockname()[1])
+
+
+@contextmanager
+def world(nodes: int = 2, known: bool = True, **allowed: Any) -> Iterator[World]:
+    """One broker; node s-N holds the shard N mod 2. `known`: it begins with the list as last had."""
+    stand_ins = [Node() for _ in range(nodes)]
+    rows = [row(node, number) for number, node in enumerate(stand_ins)]
+    discovery = Discovery(rows)
+    given = {
+        "name": "n0", "listen": f"127.0.0.1:{free_port()}", "discovery": f"127.0.0.1:{discovery.port}",
+        "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+        "known": {"version": 3, "full": True, "servers": rows if known else []},
+        "settings": profile(**{name.replace("_", "-"): value for name, value in allowed.items()}),
+    }
+    config = read_config(orjson.dumps(given), "test")
+    logged: list[tuple[str, dict[str, Any]]] = []
+    service = Service(config, lambda event, **fields: logged.append((event, fields)),
+                      lambda: read_config(orjson.dumps(given), "test"))
+    thread = threading.Thread(target=service.loop.run, daemon=True)
+    thread.start()
+    found = World(service, stand_ins, discovery, config, given, thread, logged)
+    try:
+        yield found
+    finally:
+        service.loop.call_at(0.0, service.loop.stop)
+        service.loop.network.wake()
+        thread.join(WAIT)
+        for each in (*stand_ins, discovery):
+            each.close()
+        assert not found.events("internal_error"), found.events("internal_error")
+
+
+def pause(seconds: float) -> None:
+    """For what must not happen meanwhile."""
+    time.sleep(seconds)
