A connection on which nothing comes back is left for another while its node serves

Ruled out: the node (served the other broker), beta, lag (1 ms). At fault: Nodes.find gave new calls to the connection with the most waiting, that is to the silent one, and Nodes.probe sent no question anew while the first was out on it.

Change: a connection that said nothing for as long as a new one may take to come up, with something asked, gets nothing new, and is closed once nobody waits there. What is called off sooner is no silence.

--- a/stepknot/platform/nodes.py
+++ b/stepknot/platform/nodes.py
@@ -7,10 +7,14 @@
   last byte never ran; after that, a connection that ends may have left any of its parts to run.
 - After bytes that no node would say, a connection is closed: what is out on it may have run.
 - A connection that is idle is closed before the node would close it.
+- A connection is doubted once something was asked on it and nothing at all came back for as long as a new one may take
+  to come up: a connection can fall silent while its node serves on others. Nothing new goes there until it speaks, and
+  once nobody waits there any more it is closed.
 """
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
@@ -57,6 +61,7 @@
     given_up: dict[bytes, None] = field(default_factory=dict)  # ids that may still be answered
     queue: deque[Frame] = field(default_factory=deque)
     probes: dict[bytes, OnProbe | None] = field(default_factory=dict)  # by letter; None: nobody waits any more
+    silent_since: float = math.inf  # the first moment at which something was asked that nothing came after
     flushing: bool = False
     ended: bool = False
 
@@ -148,13 +153,22 @@
         if node is None:
             return None
         found = None
+        self.close_doubted(node)
         for conn in node.connections:
-            if len(conn.waiting) + len(parcels) <= self.streams and not any(
+            if len(conn.waiting) + len(parcels) <= self.streams and not self.doubted(conn) and not any(
                     conn.may_bring(each.request.part) for each in parcels):
                 if found is None or len(conn.waiting) > len(found.waiting):
                     found = conn
         return found or self.connect(node)
 
+    def doubted(self, conn: Connection) -> bool:
+        return self.loop.now - conn.silent_since > self.connect_timeout
+
+    def close_doubted(self, node: Node) -> None:
+        for conn in list(node.connections):
+            if self.doubted(conn) and not conn.waiting and not any(conn.probes.values()):
+                self.end(conn, "silent")
+
     def put(self, conn: Connection, frame: Frame) -> None:
         conn.queue.append(frame)
         self.dirty[conn] = None
@@ -166,6 +180,8 @@
             return
         conn, frame, part = ride.conn, ride.frame, parcel.request.part
         conn.waiting.pop(part, None)
+        if not conn.waiting and not conn.probes and not self.doubted(conn):
+            conn.silent_since = math.inf  # called off before its silence told anything
         if not frame.begun:  # it is written without this part, or not at all
             frame.parcels.remove(parcel)
             if not frame.parcels:
@@ -185,9 +201,11 @@
         if node is None:
             on_end(Outcome.NOT_CONNECTED, {})
             return
-        free = [each for each in node.connections if letter not in each.probes]
-        conn = free[0] if free else None if node.connections else self.connect(node)
-        if conn is None and not node.connections:
+        self.close_doubted(node)
+        free = [each for each in node.connections if letter not in each.probes and not self.doubted(each)]
+        sound = any(not self.doubted(each) for each in node.connections)
+        conn = free[0] if free else None if sound else self.connect(node)
+        if conn is None and not sound:
             on_end(Outcome.NOT_CONNECTED, {})
             return
         ended = False
@@ -233,10 +251,13 @@
                 if not data:
                     return
                 conn.since = self.loop.now
+                conn.silent_since = math.inf
                 for message in reader.feed(data):
                     if not self.take(conn, message):
                         reader.spoilt = reader.spoilt or f"unasked for: {message}"[:200]
                         break
+                if conn.waiting or conn.probes:
+                    conn.silent_since = self.loop.now
                 if reader.spoilt:
                     self.spoilt += 1
                     why = reader.spoilt
@@ -308,6 +329,8 @@
         if link is None or link.closed:
             return
         conn.since = now
+        if conn.waiting or conn.probes:
+            conn.silent_since = min(conn.silent_since, now)
         while conn.queue:
             for frame in conn.queue:
                 if not frame.data:
