A replica at its own bound is chosen last, as is one to be bypassed

Bounds differ by server here, so the fewest out are not where there is room. Ruled out: descriptors, connections, restarts (0.3 s), discovery (moved at once). choose() ranked by count alone but for the time.

Change: choose ranks last whom wait_at would turn down for whatever reason. The new test fails on the old code.

--- a/stepknot/logic.py
+++ b/stepknot/logic.py
@@ -274,18 +274,18 @@
         capsule.credit, capsule.credit_at = min(capsule.credit, max(1.0, budget)), self.now
         return capsule.credit >= 1
 
-    def choose(self, query: Query, shard: int, tried: list[str]) -> Capsule | None:
+    def choose(self, query: Query, shard: int, tried: list[str], share: float, trial: bool) -> Capsule | None:
         """The replica with the fewest calls out; one formed in this turn takes a further part for nothing.
 
-        One that would be bypassed for its mean comes last: after a pause nothing is out there, it would be chosen
-        again and again, and each all-parts query be refused for it until the mean is forgotten.
+        One at its bound or to be bypassed comes last: a slow server has few out, it would be chosen again and
+        again, and each all-parts query be refused for it until its mean is forgotten.
         """
         def rank(capsule: Capsule) -> tuple[bool, float, bool, float]:
             count = self.load(capsule) + self.failed(capsule) + UNANSWERED * capsule.asked
             # Reports count by powers of two: all aggregators see the same one, and must not all follow it.
             count += int(math.log2(1 + self.others_at(capsule)))
-            return self.too_late(query, capsule), count + self.pooled(capsule), not self.joins(
-                capsule), self.random.random()
+            return self.wait_at(query, capsule, share, trial) <= 0, count + self.pooled(
+                capsule), not self.joins(capsule), self.random.random()
 
         holders = [each for each in self.holders(shard)
                    if each.entry.server not in tried and self.has_room(each)]
@@ -425,7 +425,8 @@
 
     def plan(self, query: Query, part: Part, share: float = 1.0, trial: bool = False) -> Attempt | None:
         """An attempt at a replica not tried yet, if there is one, unless it is at its bound or bypassed."""
-        capsule = self.choose(query, part.shard, part.tried) or self.choose(query, part.shard, [])
+        capsule = self.choose(query, part.shard, part.tried, share, trial) or self.choose(
+            query, part.shard, [], share, trial)
         wait = self.wait_at(query, capsule, share, trial) if capsule else 0.0
         if capsule is None or wait <= 0:
             return None
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -13,6 +13,7 @@
     SetTimer,
     TimerDue,
 )
+from stepknot.records import Call
 from tests.helpers import FLEET, START, Driver, entry, limits, make_settings, rules
 
 
@@ -554,3 +555,17 @@
         capsule.heard, capsule.heard_at = 50, driver.now
         capsule.mean, capsule.out = 0.8 * driver.settings.classes["all"].aim, 1.0
     assert isinstance(driver.finals.get(driver.query("all", [0, 1])), Refuse)
+
+
+def test_a_slow_server_at_its_low_bound_is_not_chosen_before_a_quick_one_with_more_out() -> None:
+    """Its bound is two parts, another's is many: the fewest out are not where there is room."""
+    driver = Driver(fleet=FLEET[:2])
+    slow, quick = (driver.aggregator.capsules[entry.server] for entry in FLEET[:2])
+    for capsule, mean in ((slow, 0.5), (quick, 0.02)):
+        capsule.heard, capsule.heard_at, capsule.mean, capsule.out = 50, driver.now, mean, 1.0
+    driver.query("all", [0])
+    driver.query("all", [0])
+    slow.calls = {Call(0, sent=1, out=1), Call(0, sent=1, out=1)}
+    quick.calls = {Call(0, sent=1, out=1) for _ in range(5)}
+    assert driver.finals.get(driver.query("all", [0])) is None
+    assert driver.sends()[0].server == quick.entry.server
