--- a/stepknot/platform/nodes.py
+++ b/stepknot/platform/nodes.py
@@ -148,26 +148,18 @@
         self.put(conn, frame)
 
     def find(self, server: str, parcels: list[Parcel]) -> Connection | None:
-        """The connection with the least on it that has room, or a new one.
-
-        What is out on a connection shares its fate: a node may close it after any answer. So calls are spread over as
-        many as the descriptors leave for each node; another one comes up where all have something on them, one at a
-        time, and nothing waits for it.
-        """
+        """The connection with the most on it that has room, or a new one."""
         node = self.nodes.get(server)
         if node is None:
             return None
+        found = None
         self.close_doubted(node)
-        fit = [conn for conn in node.connections
-               if len(conn.waiting) + len(parcels) <= self.streams and not self.doubted(conn)
-               and not any(conn.may_bring(each.request.part) for each in parcels)]
-        if not fit:
-            return self.connect(node)
-        found = min(fit, key=lambda conn: (len(conn.waiting), conn.link is None))
-        if found.waiting and len(node.connections) < self.most // len(self.nodes) and all(
-                conn.link is not None for conn in node.connections):
-            self.connect(node)
-        return found
+        for conn in node.connections:
+            if len(conn.waiting) + len(parcels) <= self.streams and not self.doubted(conn) and not any(
+                    conn.may_bring(each.request.part) for each in parcels):
+                if found is None or len(conn.waiting) > len(found.waiting):
+                    found = conn
+        return found or self.connect(node)
 
     def doubted(self, conn: Connection) -> bool:
         return self.loop.now - conn.silent_since > self.connect_timeout
