Whoever just came is not ended for those that asked once and stay

Server.make_room ended first whoever had never asked, that is whoever had just come, while hundreds that had asked once stayed. Now the connection without a whole request for longest goes. The new test fails on the old code.

--- a/stepknot/net/server.py
+++ b/stepknot/net/server.py
@@ -281,14 +281,11 @@
             self.connections.add(Connection(self, link, peer))
 
     def make_room(self) -> bool:
-        """End the connection that is missed least, whether there was one: first those that never asked for anything,
-        then those between requests, then those whose request does not come; of these the one that has been at it for
-        longest. One whose next bytes wait unread is none of them."""
-        def rank(each: Connection) -> tuple[int, float]:
-            return (2, each.begun) if each.parser.started else (1, each.free_at) if each.free_at else (0, each.begun)
-
+        """End the connection that is missed least, whether there was one: the one that has been without a whole request
+        for longest, be it between two, silent or in the midst of one. One that just came is about to ask, and goes
+        last; one whose next bytes wait unread is none of them."""
         resting = [each for each in self.connections if not each.busy and not each.link.closed]
-        for each in sorted(resting, key=rank):
+        for each in sorted(resting, key=lambda each: max(each.begun, each.free_at)):
             if each.link.peek() is None:
                 self.turned_away += 1
                 each.link.close()
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -210,6 +210,22 @@
             sock.close()
 
 
+def test_whoever_just_came_is_not_ended_for_those_that_asked_once_and_stay() -> None:
+    with world() as found:
+        server = found.service.server
+        found.call(lambda: setattr(server, "most", 20))
+        stayers = [found.client() for _ in range(20)]
+        for client in stayers:
+            client.sock.sendall(found.request())
+            assert client.read().status == 200
+        fresh = [found.client() for _ in range(10)]  # all are there before the first of them asks
+        until(lambda: server.turned_away == 10)
+        for client in fresh:
+            client.sock.sendall(found.request())
+            assert client.read().status == 200
+        assert sum(client.silent_for(0.001) for client in stayers[10:]) == 10  # the latest to ask are still there
+
+
 def test_hundreds_at_once_get_one_answer_each() -> None:
     def late(call: Call) -> None:
         call.answer()
