Clients' connections between two requests are bounded: who asks anew finds room

A count of connections by what they had done showed 222 in all, 94 that had never said anything and 128 that had asked once and stayed. 128 is a third of the 384 descriptors: what clients hold for requests at the most, so whoever wanted to ask anew had none. Ruled out: the module (20 refusals), turning away (below the bound until then), accepting (100 a second), the processor. At fault: an idle time of 4 s and nothing that bounds those at rest.

Change: a connection between two requests is ended after 2.05 s (2 s are allowed), and beyond a fifth of the descriptors the one longest at rest is. Two new tests fail on the old code.

--- a/stepknot/net/server.py
+++ b/stepknot/net/server.py
@@ -120,6 +120,7 @@
             self.link.close()
             self.link.on_peer_closed, self.parser.parser = None, None  # rings: connection, link, parser
             self.server.connections.discard(self)
+            self.server.resting.pop(self, None)
             if self.server.gate is not None:
                 self.server.gate.gone(self.number)
 
@@ -132,6 +133,7 @@
                 if server.closing and not parser.started and link.peek() is None:
                     return
                 data, self.first = self.first or (yield from link.recv(CHUNK)), b""
+                server.resting.pop(self, None)
                 if not data:
                     return
                 begun = parser.started
@@ -169,6 +171,7 @@
                 if gate is not None:
                     gate.settle(self)
                 self.allow(gate.keep_alive(server.limits.idle) if gate is not None else server.limits.idle)
+                server.rest(self)
 
     def wait_for_room(self, size: int) -> Generator[Park, Any, bool]:
         """Nothing more is read from this sender until there is room for what it sent; not for ever."""
@@ -263,6 +266,8 @@
         self.gate: Any = None  # broker.gate.Gate, where connections are not simply taken
         self.silent = 0  # connections closed for silence
         self.most = math.inf  # connections, where no gate looks after them
+        self.most_resting = math.inf  # of them between two requests
+        self.resting: dict[Connection, None] = {}  # the longest at rest first
         self.turned_away = 0  # connections closed to stay under it
         self.deserted = 0  # requests whose client was gone before their turn came
         self.listener: Listener = loop.listen(host, port, self.on_accept)
@@ -280,6 +285,15 @@
         else:
             self.connections.add(Connection(self, link, peer))
 
+    def rest(self, connection: Connection) -> None:
+        """It is between two requests from now on; beyond the bound whoever is so for longest is ended."""
+        self.resting[connection] = None
+        while len(self.resting) > self.most_resting:
+            longest = next(iter(self.resting))
+            del self.resting[longest]
+            if longest.link.peek() is None:  # else its next request is there
+                longest.link.close()
+
     def make_room(self) -> bool:
         """End the connection that is missed least, whether there was one: the one that has been without a whole request
         for longest, be it between two, silent or in the midst of one. One that just came is about to ask, and goes
--- a/stepknot/platform/service.py
+++ b/stepknot/platform/service.py
@@ -24,9 +24,12 @@
 from stepknot.platform.discovery import Discovery, NodeList, as_event, read_list
 from stepknot.platform.nodes import Nodes
 
-# Bounds of the protocol's own, the same at every deployment.
-LIMITS = HttpLimits(header=8 * 1024, url=1024, body=64 * 1024, first_byte=2.0, body_time=2.0, idle=4.0, write=3.0)
+# Bounds of the protocol's own, the same at every deployment. A connection without a request may be ended after two
+# seconds. It is ended soon after: clients hold so many connections and no more, and some ask once and keep theirs.
+REST = 2.05
+LIMITS = HttpLimits(header=8 * 1024, url=1024, body=64 * 1024, first_byte=REST, body_time=REST, idle=REST, write=3.0)
 CLIENTS_SHARE = 0.6  # of the descriptors; a third is what clients hold for requests
+RESTING_SHARE = 0.2  # between two requests: who asks anew must find that third not used up by those that stay
 OWN = 16  # descriptors for the loop, the listener, discovery and the logs
 STAY = 0.5  # seconds for which new connections still come after SIGTERM
 DISCOVERY_TIMEOUT = 1.0  # seconds for a connection to it
@@ -60,6 +63,7 @@
         self.open: set[str] = set()  # ids of clients' requests in work
         self.server = Server(loop, *config.listen, self.handle, LIMITS, self.http_error)
         self.server.most = self.most_clients()
+        self.server.most_resting = config.sockets * RESTING_SHARE
         self.stopping = False
 
     def most_clients(self) -> int:
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any
 
 import pytest
@@ -226,6 +227,33 @@
         assert sum(client.silent_for(0.001) for client in stayers[10:]) == 10  # the latest to ask are still there
 
 
+def test_a_connection_between_requests_is_ended_soon_after_two_seconds_and_not_before() -> None:
+    """Clients hold so many connections and no more: who asked once and stays keeps another from asking."""
+    with world() as found:
+        client = found.client()
+        client.sock.sendall(found.request())
+        assert client.read().status == 200
+        begun = time.monotonic()
+        client.sock.settimeout(3.0)
+        assert client.rest() == b""
+        assert 2.0 <= time.monotonic() - begun < 3.0
+
+
+def test_those_that_asked_once_and_stay_are_bounded_and_the_latest_are_kept() -> None:
+    with world() as found:
+        server = found.service.server
+        found.call(lambda: setattr(server, "most_resting", 5))
+        clients = [found.client() for _ in range(12)]
+        for client in clients:
+            client.sock.sendall(found.request())
+            assert client.read().status == 200
+        until(lambda: len(server.connections) == 5)
+        for client in clients[7:]:
+            client.sock.sendall(found.request())
+            assert client.read().status == 200
+        assert all(client.rest() == b"" for client in clients[:7])
+
+
 def test_hundreds_at_once_get_one_answer_each() -> None:
     def late(call: Call) -> None:
         call.answer()
