--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -23,6 +23,7 @@
 FRAMES, NODES = "tests/platform/test_frames.py", "tests/platform/test_nodes.py"
 ASKS, WATCH = "tests/platform/test_requests.py", "tests/platform/test_discovery.py"
 PROCESS = "tests/platform/test_service.py"
+SIGTERM = f"{PROCESS}::test_sigterm_serves_what_still_comes_finishes_what_is_in_work_and_exits_with_0"
 Row = tuple[str, str, str, str]
 ROWS: list[Row] = [
     ("net/loop.py", "or self.closed or self.peek() == b\"\"", "or self.closed",
@@ -213,7 +214,8 @@
      f"{NODES}::test_a_burst_opens_no_more_connections_than_its_calls_need"),
     ("platform/nodes.py", "if conn.idle and conn.since <= before:", "if False:",
      f"{NODES}::test_an_idle_connection_is_closed_before_the_node_would"),
-    ("platform/nodes.py", "if whole:", "if False:", f"{NODES}::test_a_full_list_forgets_the_nodes_that_it_does_not_name"),
+    ("platform/nodes.py", "if whole:", "if False:",
+     f"{NODES}::test_a_full_list_forgets_the_nodes_that_it_does_not_name"),
     ("platform/discovery.py", "if task is self.newest:\n                    self.end_older()", "self.end_older()",
      f"{WATCH}::test_a_new_address_is_followed_and_the_old_watch_counts_until_it_speaks"),
     ("platform/discovery.py", "link.recv(CHUNK, SILENCE)", "link.recv(CHUNK)",
@@ -229,13 +231,17 @@
      f"{ASKS}::test_an_id_that_is_open_is_refused_and_the_first_of_it_is_answered"),
     ("platform/service.py", "connection.on_hang_up(lambda: self.core.gone(ask))", "pass",
      f"{ASKS}::test_a_client_that_goes_away_has_its_parts_given_up"),
-    ("platform/service.py", "yield from self.loop.sleep(STAY)", "pass", f"{PROCESS}::test_sigterm_serves_what_still_comes_finishes_what_is_in_work_and_exits_with_0"),
+    ("platform/service.py", "yield from self.loop.sleep(STAY)", "pass", SIGTERM),
     ("broker/core.py", "or still > self.most_open", "or False",
      f"{ASKS}::test_over_the_cap_on_what_is_open_a_query_is_refused_at_once"),
+    ("net/server.py", "max(each.begun, each.free_at)", "each.free_at > 0",
+     f"{ASKS}::test_whoever_just_came_is_not_ended_for_those_that_asked_once_and_stay"),
+    ("net/server.py", "while len(self.resting) > self.most_resting:", "while False:",
+     f"{ASKS}::test_those_that_asked_once_and_stay_are_bounded_and_the_latest_are_kept"),
     ("net/server.py", "and not self.make_room()", "and False",
      f"{ASKS}::test_silent_connections_by_hundreds_leave_room_for_whoever_asks"),
     ("net/server.py", "if server.closing and not parser.started and link.peek() is None:", "if server.leaving:",
-     f"{PROCESS}::test_sigterm_serves_what_still_comes_finishes_what_is_in_work_and_exits_with_0"),
+     SIGTERM),
 ]
 
 
--- a/stepknot/cli/main.py
+++ b/stepknot/cli/main.py
@@ -77,6 +77,21 @@
                  lambda: load(config)))
 
 
+@cli.command()
+def platform() -> None:
+    """Run a broker on the users' platform, by the JSON file that the variable LB_CONFIG names, until SIGTERM.
+
+    SIGHUP reads the file again and follows discovery's address. Exit code 2 where the file cannot be read. `python -m
+    stepknot.platform` is the same with less loaded, for machines that are small.
+
+    \b
+    Example: LB_CONFIG=config.json stepknot platform
+    """
+    from stepknot.platform.__main__ import main as run
+
+    sys.exit(run([]))
+
+
 @cli.command()
 @click.argument("config", type=CONFIG)
 @click.option("--json", "as_json", is_flag=True, help="Print problems or a summary as JSON.")
--- a/tests/platform/test_service.py
+++ b/tests/platform/test_service.py
@@ -134,6 +134,12 @@
     assert start({}, "--odd").returncode == 2
 
 
+def test_the_command_line_starts_it_too() -> None:
+    ended = subprocess.run([sys.executable, "-m", "stepknot", "platform"], capture_output=True, text=True, timeout=WAIT,
+                           env={**os.environ, "LB_CONFIG": ""})
+    assert ended.returncode == 2 and "LB_CONFIG" in ended.stderr
+
+
 @pytest.mark.parametrize("name", HEAVY)
 def test_run_imports_nothing_that_it_has_no_room_for(name: str) -> None:
     code = f"import sys, stepknot.platform.service, stepknot.platform.__main__; sys.exit({name!r} in sys.modules)"
