--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -188,6 +188,7 @@
         until(lambda: found.nodes[0].calls)
         client.sock.close()
         until(lambda: found.nodes[0].given_up == ["gone.0"])
+        assert found.service.core.counts["gone"] == 1  # not given up for its time
         assert not found.call(lambda: (found.service.core.held, found.service.core.out, found.service.open))[0]
 
 
