--- a/stepknot/logic.py
+++ b/stepknot/logic.py
@@ -336,27 +336,20 @@
             capsule.failures.append(self.now + hold)
             self.fleet.told = -math.inf  # not all is well: ask
 
-    def expected(self, capsule: Capsule) -> float:
-        """Its mean, or less with less out than when that was heard: what had to queue is no slow server."""
-        mean, pace = self.measure(capsule)
-        return min(mean, pace * (self.load(capsule) + self.others_at(capsule) + 1))
-
-    def too_late(self, query: Query, capsule: Capsule) -> bool:
-        """Whether the time left is too short for what this server is expected to take."""
-        return not query.first and query.wait_end - self.now < LEAST_TIME * self.expected(capsule)
-
     def wait_at(self, query: Query, capsule: Capsule, share: float = 1.0, trial: bool = False) -> float:
         """How long a part may wait for this server: 0 for one at its bound and for a part to be bypassed."""
         if query.first:  # a second step is never shed: the first one's work would be for nothing
             return query.wait_end - self.now
-        pace = self.measure(capsule)[1]
+        mean, pace = self.measure(capsule)
         beta = max(LEAST_BETA, BETA_SHARE * self.shortest_wait / pace * query.favour) * share
         alpha, left = ALPHA_SHARE * beta, query.wait_end - self.now
         out = self.load(capsule) + self.others_at(capsule)
         wait = left if out < beta else 0.0
         if out > alpha and not query.kind.all_parts:
             wait = max(0.0, left * (beta - out) / (beta - alpha))
-        if wait >= self.expected(capsule) and not self.too_late(query, capsule):
+        # Its mean, or less with less out than when that was heard: what had to queue is no slow server.
+        expected = min(mean, pace * (out + 1))
+        if wait >= expected and left >= LEAST_TIME * expected:
             return wait
         # A server with nothing out for a shortest wait has worked off what made it slow.
         return left if trial and out < 1 and self.now - capsule.used >= self.shortest_wait else 0.0
