One life for both services, one kind of stand-in; a stale frame and a forgotten node mended

On reading the change again: - broker/service.py and platform/service.py had the same signals, collector settings, end and words on errors and slow turns: broker/life.py has them once. Behaviour as before. - A frame that was in bytes when the kernel took none kept a part given up since: sent with the others (where calls have several parts), and its answer would have ended the connection as unasked for. Nodes.give_up lets the bytes go. Whether a frame was taken is derived from what was sent, no longer kept beside it. - A node that left the list while something was out there was never forgotten until a whole list came. It goes with its last connection now. Both defects have a test that the old code fails. - tests/platform/world.py had listening, a broker on a thread and their ends again: tests/broker/scripted.py has them once. Left: platform/config.address beside config.readers.address, which would bring hcl2 and lark into run.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -204,7 +204,7 @@
      f"{NODES}::test_one_part_is_given_up_and_the_connection_lives_on"),
     ("platform/nodes.py", "self.put(conn, Frame([], self.loop.now, frames.give_up(part)))", "pass",
      f"{NODES}::test_one_part_is_given_up_and_the_connection_lives_on"),
-    ("platform/nodes.py", "if not frame.begun:", "if False:",
+    ("platform/nodes.py", "if not frame.sent:", "if False:",
      f"{NODES}::test_a_partly_taken_frame_is_finished_and_what_waits_behind_it_never_ran"),
     ("platform/nodes.py", "return self.loop.now - conn.silent_since > self.connect_timeout", "return False",
      f"{NODES}::test_a_connection_that_falls_silent_is_left_for_another_while_its_node_serves"),
--- a/stepknot/broker/service.py
+++ b/stepknot/broker/service.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import gc
 import math
 import os
 import random
 import resource
-import signal
 import time
 from collections.abc import Callable
 from dataclasses import asdict, replace
@@ -27,6 +25,7 @@
 from stepknot.boxes.rest import RestBoxes
 from stepknot.broker.core import Core
 from stepknot.broker.gate import Gate
+from stepknot.broker.life import Life
 from stepknot.broker.queries import Queries
 from stepknot.config.settings import Config
 from stepknot.discovery.boxlist import FileSource
@@ -40,9 +39,6 @@
 CHANGES = {"/admission/ban": ("banned", True), "/admission/unban": ("banned", False),
            "/admission/allow": ("allowed", True), "/admission/disallow": ("allowed", False)}
 GRACE = 10.0  # seconds for which held queries may end by themselves once the broker is told to stop
-# Objects made and not freed between two passes over the young. Queries leave no rings behind (a test sees to that), so
-# passes find nothing; a full one over what is held takes a tenth of a second, and all wait for it.
-COLLECT_EVERY = 50_000
 LAST_WORD = 2.0  # seconds for final answers to leave after that
 
 STATES = (State.SOUND, State.RETURNING, State.DARK)
@@ -63,7 +59,7 @@
     return min((kind.aim for kind in config.settings.classes.values()), default=1.0)
 
 
-class Service:
+class Service(Life):
     """One broker on a loop of its own. `make_front` gives the handler and the error body of its front, `make_graph`
     those of the second one, where the settings have it."""
 
@@ -74,9 +70,7 @@
         self.config, self.log = config, log
         chance = random.Random(config.seed if seed is None else seed) if config.seed or seed else random.Random()
         self.loop = Loop(clock, chance, on_error=self.on_task_error)
-        # Little processor time in a long turn: the machine is busy. Much of it: this broker is, and with what is below.
-        self.loop.on_slow_turn = lambda took, cpu: log(
-            "slow_turn", took=round(took, 3), cpu=round(cpu, 3), held=len(self.core.held), out=len(self.core.out))
+        self.loop.on_slow_turn = self.on_slow_turn
         limits = config.settings.limits
         self.name = f"{config.name}@{config.listen[0]}:{config.listen[1]}"
         budgets = self.share_descriptors(config)
@@ -112,7 +106,6 @@
                                  lambda trouble: log("box_list_not_taken", trouble=trouble))
         self.registry = CollectorRegistry()
         self.registry.register(self)
-        self.stopping = False
 
     def share_descriptors(self, config: Config) -> Budgets | None:
         """The limit as it is at the start. A limit that is too low for budgets is told, and there are none then."""
@@ -154,23 +147,11 @@
                 os.fsync(new.fileno())
             os.replace(f"{file}.new", file)
 
-    def on_task_error(self, name: str, error: BaseException) -> None:
-        """A task that failed unexpectedly is told loudly; the broker goes on for all others."""
-        self.core.counts["internal_errors"] += 1
-        self.log("internal_error", task=name, error=f"{type(error).__name__}: {error}", exc_info=error)
-
     # --- life
 
     def run(self) -> int:
-        self.loop.on_signal(self.stop, signal.SIGTERM, signal.SIGINT)
-        if self.load_again is not None:
-            self.loop.on_signal(self.reload, signal.SIGHUP)
-        # Settings, grammar and modules stay for good: the collector need not walk them at every pass, nor pass often.
-        gc.collect()
-        gc.freeze()
-        gc.set_threshold(COLLECT_EVERY, 100, 1000)
         self.log("serving", address=f"{self.config.listen[0]}:{self.server.port}")
-        self.loop.run()
+        self.live(self.reload if self.load_again is not None else None)
         self.log("stopped")
         return 0
 
@@ -190,12 +171,6 @@
         else:
             self.log("reloaded", types=len(config.graphql.types), entities=len(config.graphql.entities))
 
-    def stop(self) -> None:
-        """Stop accepting; what is held ends by itself or gets a final answer; then the loop ends."""
-        if not self.stopping:
-            self.stopping = True
-            self.loop.spawn(self.ending(), "ending")
-
     def ending(self) -> Coroutine:
         self.log("stopping", held=len(self.core.held))
         self.server.close()
--- a/stepknot/net/server.py
+++ b/stepknot/net/server.py
@@ -266,9 +266,9 @@
         self.gate: Any = None  # broker.gate.Gate, where connections are not simply taken
         self.silent = 0  # connections closed for silence
         self.most = math.inf  # connections, where no gate looks after them
+        self.turned_away = 0  # of them, ended or not taken to stay under it
         self.most_resting = math.inf  # of them between two requests
         self.resting: dict[Connection, None] = {}  # the longest at rest first
-        self.turned_away = 0  # connections closed to stay under it
         self.deserted = 0  # requests whose client was gone before their turn came
         self.listener: Listener = loop.listen(host, port, self.on_accept)
 
--- a/stepknot/platform/log.py
+++ b/stepknot/platform/log.py
@@ -26,7 +26,7 @@
         told[event] = int(now), count
         if quiet and count > MOST:
             return
-        error = fields.pop("trace", None)
+        error = fields.pop("exc_info", None)
         if isinstance(error, BaseException):
             fields["trace"] = "".join(traceback.format_exception(error))[-2000:]
         line = orjson.dumps({"at": round(now, 3), "event": event, **fields}, default=str)
--- a/stepknot/platform/nodes.py
+++ b/stepknot/platform/nodes.py
@@ -39,11 +39,11 @@
     at: float  # when it was handed over here
     data: bytes = b""
     sent: int = 0
-    taken: bool = False  # to its last byte
 
     @property
-    def begun(self) -> bool:
-        return self.sent > 0
+    def taken(self) -> bool:
+        """Whether the kernel took it to its last byte."""
+        return 0 < len(self.data) == self.sent
 
 
 @dataclass(slots=True, eq=False)
@@ -79,6 +79,7 @@
     host: str
     port: int
     connections: list[Connection] = field(default_factory=list)
+    listed: bool = True
 
 
 class Nodes:
@@ -104,8 +105,9 @@
             named.add(server)
             node = self.nodes.get(server)
             if node is None:
-                self.nodes[server] = Node(server, host, port)
-            elif (node.host, node.port) != (host, port):  # what is out ends where it was sent
+                node = self.nodes[server] = Node(server, host, port)
+            node.listed = True
+            if (node.host, node.port) != (host, port):  # what is out ends where it was sent
                 node.host, node.port = host, port
                 self.close_idle(server)
         if whole:
@@ -113,11 +115,16 @@
                 self.forget(server)
 
     def forget(self, server: str) -> None:
-        """It is listed no more: its connections go with what is out on them."""
-        self.close_idle(server)
+        """It is listed no more: it goes with its connections, each once nothing is out there."""
         node = self.nodes.get(server)
-        if node is not None and not node.connections:
-            del self.nodes[server]
+        if node is not None:
+            node.listed = False
+            self.close_idle(server)
+            self.drop_unlisted(node)
+
+    def drop_unlisted(self, node: Node) -> None:
+        if not node.listed and not node.connections:
+            self.nodes.pop(node.server, None)
 
     def open(self) -> int:
         return sum(len(node.connections) for node in self.nodes.values())
@@ -182,7 +189,8 @@
         conn.waiting.pop(part, None)
         if not conn.waiting and not conn.probes and not self.doubted(conn):
             conn.silent_since = math.inf  # called off before its silence told anything
-        if not frame.begun:  # it is written without this part, or not at all
+        if not frame.sent:  # it is written without this part, or not at all
+            frame.data = b""  # where it was in bytes already, and the kernel took none
             frame.parcels.remove(parcel)
             if not frame.parcels:
                 conn.queue.remove(frame)
@@ -263,6 +271,9 @@
                     why = reader.spoilt
                     self.on_event("node_spoilt", box=node.server, why=why, out=len(conn.waiting))
                     return
+                if not node.listed and conn.idle:
+                    why = "its node is listed no more"
+                    return
         except Expired:
             why = "the connection did not come up in time"
         except OSError as error:
@@ -301,6 +312,7 @@
             return
         conn.ended = True
         conn.node.connections.remove(conn)
+        self.drop_unlisted(conn.node)
         self.dirty.pop(conn, None)
         if conn.link is not None:
             conn.link.close()
@@ -349,8 +361,7 @@
                 frame = conn.queue[0]
                 step = min(count, len(frame.data) - frame.sent)
                 frame.sent, count = frame.sent + step, count - step
-                if frame.sent == len(frame.data):
-                    frame.taken = True
+                if frame.taken:
                     conn.queue.popleft()
 
     def flush_later(self, conn: Connection, link: Link) -> Coroutine:
--- a/stepknot/platform/requests.py
+++ b/stepknot/platform/requests.py
@@ -34,7 +34,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Service:
+class Offer:
     """What there is to ask for."""
 
     classes: dict[str, QueryClass]
@@ -52,10 +52,10 @@
     return float(found[1]) * UNITS[found[2]]
 
 
-def read_ask(request: Request, service: Service, arrived: float) -> Ask:
+def read_ask(request: Request, offer: Offer, arrived: float) -> Ask:
     """The query that the request asks. Its time runs from `arrived`."""
     head = request.headers
-    kind = service.classes.get(request.path.removeprefix("/").partition("/")[0])
+    kind = offer.classes.get(request.path.removeprefix("/").partition("/")[0])
     if kind is None:
         raise BadRequest(404, "no such class of query")
     if request.method != "POST":
@@ -68,7 +68,7 @@
     elif not ID.match(key):
         raise BadRequest(400, "idempotency-key: expected one in this class, 64 letters and digits at the most")
     remaining = read_time(head.get("x-remaining"))
-    pieces, text = read_body(request.body, service.shards)
+    pieces, text = read_body(request.body, offer.shards)
     for piece in pieces:
         piece.request = Part(f"{name}.{piece.shard}".encode(), piece.shard, text, key)
     efforts = [piece.effort for piece in pieces]
--- a/stepknot/platform/service.py
+++ b/stepknot/platform/service.py
@@ -7,14 +7,13 @@
 
 from __future__ import annotations
 
-import gc
 import random
-import signal
 import time
 from collections.abc import Callable
 from typing import Any
 
 from stepknot.broker.core import Core
+from stepknot.broker.life import Life
 from stepknot.interface import ListKind, ListReceived, ServerState
 from stepknot.net.http import HttpError, HttpLimits, Request, Response
 from stepknot.net.loop import Coroutine, Loop
@@ -33,19 +32,17 @@
 OWN = 16  # descriptors for the loop, the listener, discovery and the logs
 STAY = 0.5  # seconds for which new connections still come after SIGTERM
 DISCOVERY_TIMEOUT = 1.0  # seconds for a connection to it
-COLLECT_EVERY = 50_000  # objects between two passes of the collector over the young
 
 Log = Callable[..., None]
 
 
-class Service:
+class Service(Life):
     def __init__(self, config: Config, log: Log, load_again: Callable[[], Config],
                  clock: Callable[[], float] = time.monotonic, wall: Callable[[], float] = time.time) -> None:
         self.config, self.log, self.load_again = config, log, load_again
         chance = random.Random(config.seed)
         self.loop = loop = Loop(clock, chance, on_error=self.on_task_error)
-        loop.on_slow_turn = lambda took, cpu: log("slow_turn", took=round(took, 3), cpu=round(cpu, 3),
-                                                  held=len(self.core.held), out=len(self.core.out))
+        loop.on_slow_turn = self.on_slow_turn
         settings = config.settings
         self.clock_offset = clock() - wall()
         self.nodes = Nodes(loop, config.streams, settings.parts_per_call, config.connect_timeout,
@@ -59,21 +56,15 @@
             self.nodes.take_addresses(known.addresses, True)
             self.core.take_list(as_event(known, ListKind.CACHED))
         self.core.post(ListReceived(ListKind.CHANGES))  # the first turn: the module asks for the list
-        self.offer = requests.Service(settings.classes, config.shards)
+        self.offer = requests.Offer(settings.classes, config.shards)
         self.open: set[str] = set()  # ids of clients' requests in work
         self.server = Server(loop, *config.listen, self.handle, LIMITS, self.http_error)
         self.server.most = self.most_clients()
         self.server.most_resting = config.sockets * RESTING_SHARE
-        self.stopping = False
 
     def most_clients(self) -> int:
         return int(self.config.sockets * CLIENTS_SHARE)
 
-    def on_task_error(self, name: str, error: BaseException) -> None:
-        """A task that failed unexpectedly is told loudly; the broker goes on for all others."""
-        self.core.counts["internal_errors"] += 1
-        self.log("internal_error", task=name, error=f"{type(error).__name__}: {error}", trace=error)
-
     # --- the list
 
     def read_known(self) -> NodeList | None:
@@ -122,14 +113,8 @@
     # --- life
 
     def run(self) -> int:
-        loop = self.loop
-        loop.on_signal(self.stop, signal.SIGTERM, signal.SIGINT)
-        loop.on_signal(self.reload, signal.SIGHUP)
-        gc.collect()
-        gc.freeze()
-        gc.set_threshold(COLLECT_EVERY, 100, 1000)
         self.log("serving", address=f"{self.config.listen[0]}:{self.server.port}", broker=self.config.name)
-        loop.run()
+        self.live(self.reload)
         self.log("stopped", **self.summary())
         return 0
 
@@ -146,11 +131,6 @@
         self.log("reloaded", discovery=f"{config.discovery[0]}:{config.discovery[1]}")
         self.discovery.move(config.discovery)
 
-    def stop(self) -> None:
-        if not self.stopping:
-            self.stopping = True
-            self.loop.spawn(self.ending(), "ending")
-
     def ending(self) -> Coroutine:
         self.log("stopping", held=len(self.core.held))
         self.server.leaving = True
--- a/tests/broker/scripted.py
+++ b/tests/broker/scripted.py
@@ -5,7 +5,7 @@
 import socket
 import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -100,23 +100,15 @@
     return {"took": 0, "errors": False, "items": [{action: item}]}
 
 
-class ScriptedBox:
-    """Listens on a port of its own; each request runs the script in force when it came."""
+class Listening:
+    """A stand-in on a port of its own: each connection's conversation has a thread."""
 
-    def __init__(self, script: Script | None = None) -> None:
+    def __init__(self) -> None:
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.port: int = self.listener.getsockname()[1]
-        self.script: Script = script or Call.serve
-        self.calls: list[Call] = []
         self.socks: list[socket.socket] = []
-        self.changed = threading.Condition()
-        self.closed_seen = 0  # connections that the broker ended
         threading.Thread(target=self.accept, daemon=True).start()
 
-    @property
-    def address(self) -> str:
-        return f"127.0.0.1:{self.port}"
-
     def accept(self) -> None:
         while True:
             try:
@@ -127,6 +119,33 @@
             self.socks.append(sock)
             threading.Thread(target=self.converse, args=(sock,), daemon=True).start()
 
+    def converse(self, sock: socket.socket) -> None:
+        raise NotImplementedError
+
+    def close(self) -> None:
+        """At once, also where a thread is reading."""
+        for sock in [self.listener, *self.socks]:
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+            sock.close()
+
+
+class ScriptedBox(Listening):
+    """Each request runs the script in force when it came."""
+
+    def __init__(self, script: Script | None = None) -> None:
+        self.script: Script = script or Call.serve
+        self.calls: list[Call] = []
+        self.changed = threading.Condition()
+        self.closed_seen = 0  # connections that the broker ended
+        super().__init__()
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.port}"
+
     def converse(self, sock: socket.socket) -> None:
         data = b""
         try:
@@ -160,14 +179,41 @@
         with self.changed:
             assert self.changed.wait_for(lambda: fits(self), WAIT), "it did not happen in time"
 
-    def close(self) -> None:
-        self.listener.close()
-        for sock in self.socks:
-            sock.close()
+
+class OnThread:
+    """A broker under test whose loop turns on a thread of its own."""
+
+    service: Any
+
+    def connect(self) -> socket.socket:
+        return socket.create_connection(("127.0.0.1", self.service.server.port), timeout=WAIT)
+
+    def call(self, what: Callable[[], Any]) -> Any:
+        """Run on the broker's loop, and hand back what came of it."""
+        done = threading.Event()
+        result: list[Any] = []
+        self.service.loop.call_at(0.0, lambda: (result.append(what()), done.set()))
+        self.service.loop.network.wake()
+        assert done.wait(WAIT)
+        return result[0]
+
+
+def turning(service: Any) -> threading.Thread:
+    thread = threading.Thread(target=service.loop.run, daemon=True)
+    thread.start()
+    return thread
+
+
+def halt(service: Any, thread: threading.Thread, stand_ins: Sequence[Listening]) -> None:
+    service.loop.call_at(0.0, service.loop.stop)
+    service.loop.network.wake()
+    thread.join(WAIT)
+    for each in stand_ins:
+        each.close()
 
 
 @dataclass
-class Running:
+class Running(OnThread):
     """The broker under test, its boxes and its list."""
 
     service: Service
@@ -177,22 +223,10 @@
     thread: threading.Thread
     logged: list[tuple[str, dict[str, Any]]] = field(default_factory=list)
 
-    def connect(self) -> socket.socket:
-        return socket.create_connection(("127.0.0.1", self.service.server.port), timeout=WAIT)
-
     def connect_graph(self) -> socket.socket:
         assert self.service.graph_server is not None
         return socket.create_connection(("127.0.0.1", self.service.graph_server.port), timeout=WAIT)
 
-    def call(self, what: Callable[[], Any]) -> Any:
-        """Run on the broker's loop, and hand back what came of it."""
-        done = threading.Event()
-        result: list[Any] = []
-        self.service.loop.call_at(0.0, lambda: (result.append(what()), done.set()))  # type: ignore[func-returns-value]
-        self.service.loop.network.wake()
-        assert done.wait(WAIT)
-        return result[0]
-
     def stall_with_the_next_query(self, seconds: float) -> list[float]:
         """The loop stands still in the very turn that takes it: however busy the machine, its time cannot end before.
         What is handed back holds the stall once it has begun."""
@@ -226,16 +260,11 @@
     running.write_list()
     service = make(load(path), lambda event, **fields: running.logged.append((event, fields)))
     running.service = service
-    running.thread = threading.Thread(target=service.loop.run, daemon=True)
-    running.thread.start()
+    running.thread = turning(service)
     try:
         yield running
     finally:
-        service.loop.call_at(0.0, service.loop.stop)
-        service.loop.network.wake()
-        running.thread.join(WAIT)
-        for box in boxes:
-            box.close()
+        halt(service, running.thread, boxes)
 
 
 @dataclass
--- a/tests/platform/test_nodes.py
+++ b/tests/platform/test_nodes.py
@@ -37,10 +37,7 @@
 def test_calls_share_a_connection_and_are_answered_in_any_order() -> None:
     with world() as found:
         found.nodes[0].script = hold
-        clients = [found.client() for _ in range(4)]
-        for client in clients:
-            client.sock.sendall(found.request())
-        until(lambda: len(found.nodes[0].calls) == 4)
+        clients = found.waiting(4)
         assert len(found.nodes[0].socks) == 1
         for number, call in enumerate(reversed(found.nodes[0].calls)):
             call.answer(f"v{number}")
@@ -50,10 +47,7 @@
 def test_a_burst_opens_no_more_connections_than_its_calls_need() -> None:
     with world(streams_per_conn=3) as found:
         found.nodes[0].script = hold
-        clients = [found.client() for _ in range(7)]
-        for client in clients:
-            client.sock.sendall(found.request())
-        until(lambda: len(found.nodes[0].calls) == 7)
+        clients = found.waiting(7)
         assert len(found.nodes[0].socks) == 3
         for call in list(found.nodes[0].calls):
             call.answer()
@@ -254,6 +248,48 @@
         listener.close()
 
 
+def test_a_part_given_up_before_the_kernel_took_its_call_is_not_sent_with_the_others() -> None:
+    with world(streams_per_conn=400) as found:
+        nodes = found.service.nodes
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.settimeout(WAIT)
+        move(found, listener)
+        parcels = [Parcel(Part(b"a%d.0" % number, 0, b"x" * 30_000), "a", 5.0) for number in range(300)]
+
+        def send() -> None:
+            nodes.on_reply, nodes.parts_per_call = (lambda parcel, reply, load: None), 2
+            nodes.send("s-0", parcels)
+
+        found.call(send)
+        sock, _ = listener.accept()
+        sock.settimeout(WAIT)
+        until(lambda: connections(found)[0].flushing)
+        assert all(frame.data for frame in connections(found)[0].queue)  # in bytes already
+        found.call(lambda: nodes.give_up(parcels[-1]))
+        data = b""
+        while b"a298.0 " not in data[-40_000:]:
+            data += sock.recv(1 << 20)
+        sock.settimeout(0.2)
+        with pytest.raises(TimeoutError):
+            while True:
+                data += sock.recv(1 << 20)
+        assert b"a297.0 " in data and b"a299.0" not in data
+        sock.close()
+        listener.close()
+
+
+def test_a_node_that_is_gone_while_it_works_is_forgotten_once_it_has_answered() -> None:
+    with world() as found:
+        until(lambda: found.service.discovery.version == 10)
+        found.nodes[0].script = hold
+        (client,) = found.waiting(1)
+        found.discovery.change(found.row(0, "left"))
+        until(lambda: "s-0" not in found.service.core.servers)
+        found.nodes[0].calls[0].answer()
+        assert client.read().status == 200  # what it was sent before counts
+        until(lambda: "s-0" not in found.service.nodes.nodes)
+
+
 def test_probes_are_answered_in_their_turn_and_a_late_one_tells_nothing_of_a_new_one() -> None:
     with world() as found:
         nodes: Nodes = found.service.nodes
@@ -288,10 +324,7 @@
         found.call(lambda: service.loop.turn_hooks.append(check))
         for node in found.nodes:
             node.script = hold
-        clients = [found.client() for _ in range(6)]
-        for client in clients:
-            client.sock.sendall(found.request("list", (0, 1)))
-        until(lambda: sum(len(node.calls) for node in found.nodes) == 12)
+        clients = found.waiting(6, (0, 1))
         for node in found.nodes:
             for call in list(node.calls):
                 call.answer()
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -14,7 +14,7 @@
 
 from stepknot.platform.config import Config, read_config
 from stepknot.platform.service import Service
-from tests.broker.scripted import WAIT, Answer, Client
+from tests.broker.scripted import Answer, Client, Listening, OnThread, halt, turning, until
 
 Script = Callable[["Call"], None]
 
@@ -73,29 +73,17 @@
     return frame("Y", f"{part} {end} {score} {report}\n{value}".encode())
 
 
-class Node:
-    """Listens on a port of its own; each call runs the script in force when it came."""
+class Node(Listening):
+    """Each call runs the script in force when it came."""
 
-    def __init__(self, script: Script = Call.answer, backlog: int = 100) -> None:
-        self.listener = socket.create_server(("127.0.0.1", 0), backlog=backlog)
-        self.port: int = self.listener.getsockname()[1]
+    def __init__(self, script: Script = Call.answer) -> None:
         self.script = script
         self.calls: list[Call] = []
         self.given_up: list[str] = []
         self.probes = 0
         self.on_probe: Callable[[socket.socket], None] = lambda sock: sock.sendall(frame("T", b"inflight=0,util=0.1"))
-        self.socks: list[socket.socket] = []
         self.ended = 0  # connections that the broker ended
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self) -> None:
-        while True:
-            try:
-                sock, _ = self.listener.accept()
-            except OSError:
-                return
-            self.socks.append(sock)
-            threading.Thread(target=self.converse, args=(sock,), daemon=True).start()
+        super().__init__()
 
     def converse(self, sock: socket.socket) -> None:
         data = b""
@@ -126,37 +114,17 @@
             self.calls.append(call)
             self.script(call)
 
-    def close(self) -> None:
-        for sock in [self.listener, *self.socks]:
-            try:
-                sock.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass
-            sock.close()
 
-
-class Discovery:
+class Discovery(Listening):
     """Serves the list to watches. `mood`: serve, refuse (a 503), silent (accepts and says nothing)."""
 
     def __init__(self, rows: list[dict[str, Any]], version: int = 10) -> None:
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.port: int = self.listener.getsockname()[1]
         self.rows, self.version, self.mood = rows, version, "serve"
         self.asked: list[str] = []  # the targets of requests
         self.watches: list[socket.socket] = []
-        self.accepted = 0
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self) -> None:
-        while True:
-            try:
-                sock, _ = self.listener.accept()
-            except OSError:
-                return
-            self.accepted += 1
-            threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
+        super().__init__()
 
-    def serve(self, sock: socket.socket) -> None:
+    def converse(self, sock: socket.socket) -> None:
         data = b""
         while b"\r\n\r\n" not in data:
             chunk = sock.recv(65536)
@@ -181,17 +149,9 @@
         self.version += 1
         self.say(self.watches[-1], [row])
 
-    def close(self) -> None:
-        for sock in [self.listener, *self.watches]:
-            try:
-                sock.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass
-            sock.close()
-
 
 @dataclass
-class World:
+class World(OnThread):
     service: Service
     nodes: list[Node]
     discovery: Discovery
@@ -204,8 +164,13 @@
     def row(self, number: int, state: str = "active", **changes: Any) -> dict[str, Any]:
         return row(self.nodes[number], number, state) | changes
 
-    def connect(self) -> socket.socket:
-        return socket.create_connection(("127.0.0.1", self.service.server.port), timeout=WAIT)
+    def waiting(self, count: int, shards: tuple[int, ...] = (0,)) -> list[Client]:
+        """So many clients whose requests are with the nodes, which hold them."""
+        clients = [self.client() for _ in range(count)]
+        for client in clients:
+            client.sock.sendall(self.request("list", shards))
+        until(lambda: sum(len(node.calls) for node in self.nodes) == count * len(shards))
+        return clients
 
     def client(self) -> Client:
         return Client(self.connect())
@@ -219,15 +184,6 @@
         client.sock.sendall(self.request(kind, shards, **changes))
         return client.read()
 
-    def call(self, what: Callable[[], Any]) -> Any:
-        """Run on the broker's loop, and hand back what came of it."""
-        done = threading.Event()
-        result: list[Any] = []
-        self.service.loop.call_at(0.0, lambda: (result.append(what()), done.set()))  # type: ignore[func-returns-value]
-        self.service.loop.network.wake()
-        assert done.wait(WAIT)
-        return result[0]
-
     def events(self, name: str) -> list[dict[str, Any]]:
         return [fields for event, fields in self.logged if event == name]
 
@@ -273,17 +229,12 @@
     logged: list[tuple[str, dict[str, Any]]] = []
     service = Service(config, lambda event, **fields: logged.append((event, fields)),
                       lambda: read_config(orjson.dumps(given), "test"))
-    thread = threading.Thread(target=service.loop.run, daemon=True)
-    thread.start()
+    thread = turning(service)
     found = World(service, stand_ins, discovery, config, given, thread, logged)
     try:
         yield found
     finally:
-        service.loop.call_at(0.0, service.loop.stop)
-        service.loop.network.wake()
-        thread.join(WAIT)
-        for each in (*stand_ins, discovery):
-            each.close()
+        halt(service, thread, (*stand_ins, discovery))
         assert not found.events("internal_error"), found.events("internal_error")
 
 
