Servers that stand still are chosen later, those deaf to a class last

Checked, by all that the module hears and says (STEPKNOT_LOG=trace, new) and by each part on its connection: five of twelve nodes lose three quarters of one class and answer all else in 15 to 50 ms; and three of four late queries have a part at a node that answers neither broker for 120 ms and more. Ruled out: nodes that are slow (what they answer is quick), connections that fall silent (others' answers come on them), one broker's view (both alike), shards. At fault: logic.py's choose and on_overdue. A time-out at a server that answers others counted as load whatever its class, and a copy after four means of a server with a queue came after the aim. Change: silent() and deaf() in the order of the choice, copies on silence under a quarter of beta.

--- a/stepknot/broker/core.py
+++ b/stepknot/broker/core.py
@@ -107,6 +107,7 @@
         self.on_event, self.most_held, self.most_open, self.name = on_event, most_held, most_open, name
         self.zones, self.promised = zones, promised or {}
         self.module = Aggregator(settings, seed, zones.narrow if zones is not None else None)
+        self.decide: Callable[[float, list[api.Event]], list[api.Action]] = self.module.handle
         self.inbox: list[api.Event] = []
         self.held: dict[int, Ask] = {}
         self.pieces: dict[int, tuple[Ask, Piece]] = {}
@@ -214,7 +215,7 @@
         while self.alarms and self.alarms[0][0] <= self.loop.now:
             events.append(api.TimerDue(heapq.heappop(self.alarms)[1]))
         begun = self.loop.clock()
-        actions = self.module.handle(self.loop.now, events)
+        actions = self.decide(self.loop.now, events)
         self.decide_time += self.loop.clock() - begun
         if self.zones is not None:
             self.zones.settle()
--- a/stepknot/logic.py
+++ b/stepknot/logic.py
@@ -49,8 +49,12 @@
 HOLD_GAPS = 2.0  # or for so many times as long as nothing was sent there: who sends rarely must learn too
 SPARE = 0.5  # of the attempt budget, kept for parts without which their query is lost
 OVERDUE = 4.0  # means after which a part is copied elsewhere
+# A server stands still once nothing came back for so many times what lies between two answers of any server.
+SILENCE = 8.0
 # Connections idle for over a shortest wait are closed where parts on them fail in more than this share and
 IDLE_LOSS = 0.15  # twice as often as others: they may have been dropped unseen
+# A server is deaf to a class of which it loses so much more than twice the share of another class.
+DEAF_SHARE, CLASS_WEIGHT = 0.3, 0.1
 GUARD_TICKS = 4  # a final answer is given this many ticks before the client's time is up
 WATCH_RETRY = 0.25  # share of the ask-within rule after which a broken subscription is asked for again
 OUTAGE = 1  # lost parts for each server, with none served anywhere, that are taken for an outage of all
@@ -240,6 +244,23 @@
             share = self.lost_share(*key)
             self.lost[key] = share + MEAN_WEIGHT * (failed - share), self.now
 
+    def unheeded(self, capsule: Capsule, name: str) -> float:
+        """The share of this class's parts that the server lost while it answered what was sent later."""
+        share, at = capsule.unheeded.get(name, (0.0, 0.0))
+        return share * math.exp2((at - self.now) / MEMORY)
+
+    def note_class(self, attempt: Attempt, lost: bool) -> None:
+        capsule, name = attempt.capsule, attempt.query.kind.name
+        if not lost or capsule.answered_sent > attempt.sent:
+            share = self.unheeded(capsule, name)
+            capsule.unheeded[name] = share + CLASS_WEIGHT * (lost - share), self.now
+
+    def deaf(self, capsule: Capsule, name: str) -> bool:
+        """Whether it loses this class while it answers another."""
+        mine = self.unheeded(capsule, name)
+        return mine > DEAF_SHARE and mine > DEAF_SHARE + 2 * min(
+            self.unheeded(capsule, each) for each in self.settings.classes)
+
     def idle_lost(self) -> bool:
         """Whether idle ones are closed before a send; new ones that cannot be had speak against it."""
         return self.lost_share("idle", True) > 2 * self.lost_share("idle", False) + IDLE_LOSS
@@ -277,14 +298,16 @@
     def choose(self, query: Query, shard: int, tried: list[str], share: float, trial: bool) -> Capsule | None:
         """The replica with the fewest calls out; one formed in this turn takes a further part for nothing.
 
-        One at its bound or to be bypassed comes last: a slow server has few out, it would be chosen again and
-        again, and each all-parts query be refused for it until its mean is forgotten.
+        One at its bound or to be bypassed comes after others: a slow server has few out, it would be chosen
+        again and again, and each all-parts query be refused for it until its mean is forgotten. So does one
+        that stands still. Last comes one deaf to this class: a query sent there is lost, with all its parts.
         """
-        def rank(capsule: Capsule) -> tuple[bool, float, bool, float]:
+        def rank(capsule: Capsule) -> tuple[bool, bool, bool, float, bool, float]:
             count = self.load(capsule) + self.failed(capsule) + UNANSWERED * capsule.asked
             # Reports count by powers of two: all aggregators see the same one, and must not all follow it.
             count += int(math.log2(1 + self.others_at(capsule)))
-            return self.wait_at(query, capsule, share, trial) <= 0, count + self.pooled(
+            deaf, bound = self.deaf(capsule, query.kind.name), self.wait_at(query, capsule, share, trial) <= 0
+            return deaf, bound, self.silent(capsule), count + self.pooled(
                 capsule), not self.joins(capsule), self.random.random()
 
         holders = [each for each in self.holders(shard)
@@ -314,6 +337,34 @@
         return self.now >= query.ask_end - EPSILON or not any(
             each.asked for part in query.step for each in self.holders(part.shard))
 
+    def patience(self) -> float:
+        return SILENCE * self.measure()[1]
+
+    def silent(self, capsule: Capsule) -> bool:
+        """Whether it stands still. With nothing out, a while after the last send one more is a trial."""
+        tried = bool(capsule.calls) or self.now - capsule.used < self.shortest_wait
+        return tried and self.now - capsule.silent_since > self.patience()
+
+    def on_silence(self, capsule: Capsule) -> None:
+        """Guards against servers that stand still for a moment: what is out there cannot be in time."""
+        capsule.watched = False
+        if not capsule.calls:
+            return
+        if self.now - capsule.silent_since < self.patience() - EPSILON:
+            self.watch_silence(capsule, capsule.silent_since)
+            return
+        for attempt in [each for each in self.attempts.values() if each.capsule is capsule]:
+            query, part = attempt.query, attempt.part
+            alone = part in query.step and not part.served and part.out == 1
+            if alone and self.settings.limits.second_copies:
+                self.send_again(query, part, COPY_SHARE)
+        self.watch_silence(capsule, self.now)
+
+    def watch_silence(self, capsule: Capsule, since: float) -> None:
+        if not capsule.watched:
+            capsule.watched = True
+            self.set_timer(since + self.patience(), partial(self.on_silence, capsule))
+
     def on_probe_ended(self, event: ProbeEnded) -> None:
         capsule = self.capsules.get(event.server)
         if capsule is not None:
@@ -440,7 +491,8 @@
         if attempt.call.idle and self.idle_lost():
             attempt.call.idle = False
             self.actions.append(Close(capsule.entry.server))
-        capsule.used = self.now
+        capsule.used, capsule.silent_since = self.now, min(capsule.silent_since, self.now)
+        self.watch_silence(capsule, self.now)
         self.actions.append(Send(part.part_id, capsule.entry.server, attempt.wait))
         overdue = OVERDUE * self.measure(capsule)[0]
         if overdue < attempt.wait:
@@ -453,6 +505,9 @@
         part, query, capsule = attempt.part, attempt.query, attempt.capsule
         part.out -= 1
         self.release(capsule, attempt.call)
+        spoke = event.outcome in (Outcome.SERVED, Outcome.ERROR, Outcome.REJECTED)
+        if spoke or not capsule.calls and not self.silent(capsule):
+            capsule.silent_since = self.now if capsule.calls else math.inf
         censored = event.outcome in (Outcome.TIMED_OUT, Outcome.CANCELLED)
         for each, weight in ((capsule, MEAN_WEIGHT), (self.fleet, FLEET_WEIGHT)):
             # One timed out or called off tells only that it would have taken longer: the aim at most.
@@ -466,11 +521,15 @@
                     each.heard, each.heard_at = 0, -math.inf
             self.unserved = 0
             capsule.answered = capsule.used = self.now
+            capsule.answered_sent = max(capsule.answered_sent, attempt.sent)
+            self.note_class(attempt, False)
             self.note(attempt, False)
         elif event.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT) and not busy:
             self.note_failure(capsule, math.inf if censored else MOST_HELD)
             self.note(attempt, True)
             self.unserved += 1
+        if event.outcome is Outcome.TIMED_OUT and not attempt.overdue:
+            self.note_class(attempt, True)
         self.note_report(capsule, event.load)
         part.served |= event.outcome is Outcome.SERVED
         part.may_have_run |= not event.outcome.never_ran
@@ -494,7 +553,9 @@
         if attempt is None:
             return
         query, part = attempt.query, attempt.part
+        attempt.overdue = True
         self.note(attempt, True)
+        self.note_class(attempt, True)
         if attempt.capsule.answered < attempt.sent:
             self.note_failure(attempt.capsule, math.inf)
         if part not in query.step or part.served:
--- a/stepknot/platform/__main__.py
+++ b/stepknot/platform/__main__.py
@@ -13,7 +13,7 @@
 LB_CONFIG names: its name and addresses, limits, settings and the list of nodes as last had.
 
   LB_CONFIG      path of that file (needed)
-  STEPKNOT_LOG   "debug" logs each query and call
+  STEPKNOT_LOG   "debug" logs each query, "trace" all that the decisions are told and say as well
 
 SIGHUP reads the file again and follows discovery's address; SIGTERM finishes what is in work. Exit codes: 0 after
 SIGTERM, 2 where the file cannot be read or the address is taken.
@@ -27,7 +27,7 @@
         helped = arguments == ["--help"]
         print(HELP, end="", file=sys.stdout if helped else sys.stderr)
         return 0 if helped else 2
-    from stepknot.platform.log import make_log
+    from stepknot.platform.log import make_log, traced, wants_trace
     from stepknot.platform.service import Service
 
     try:
@@ -35,6 +35,8 @@
     except (Unreadable, OSError) as error:
         print(f"stepknot: {error}", file=sys.stderr)
         return 2
+    if wants_trace(os.environ):
+        service.core.decide = traced(service.core.decide, service.log)
     return service.run()
 
 
--- a/stepknot/records.py
+++ b/stepknot/records.py
@@ -34,6 +34,10 @@
     told: float = -math.inf
     asked: bool = False  # a question is out
     answered: float = 0.0  # when the last answer came
+    answered_sent: float = 0.0  # when the latest sent of all that was answered was sent
+    unheeded: dict[str, tuple[float, float]] = field(default_factory=dict)  # by class: share lost, when
+    silent_since: float = math.inf  # something was sent there then, or waited on, and nothing came back since
+    watched: bool = False  # a timer looks at that
     used: float = math.inf  # when a connection there was last used
     gap: float = 0.0  # how long nothing was sent there before the last call
     failures: list[float] = field(default_factory=list)  # until when each counts as out
@@ -77,3 +81,4 @@
     sent: float
     wait: float
     noted: bool = False  # it is known whether it came back in time
+    overdue: bool = False  # so many means went by
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -28,6 +28,7 @@
     ServerEntry,
     ServerState,
     Settings,
+    TimerDue,
 )
 
 START = 100.0
@@ -126,6 +127,14 @@
             assert query in self.finals or self.now <= deadline + SLACK, "a query was lost"
         return self.acts
 
+    def kind_of(self, part_id: int) -> str:
+        return self.kinds[self.query_of[part_id]][0].name
+
+    def fire(self) -> None:
+        """All timers that are due by now."""
+        timers = [token for token, (at, _) in self.aggregator.timers.items() if at <= self.now]
+        self.handle(*map(TimerDue, timers))
+
     def list(self, entries: Iterable[ServerEntry], kind: ListKind = ListKind.FULL) -> list[Action]:
         entries = tuple(entries)
         if kind not in (ListKind.CHANGES, ListKind.FAILED):
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -569,3 +569,66 @@
     quick.calls = {Call(0, sent=1, out=1) for _ in range(5)}
     assert driver.finals.get(driver.query("all", [0])) is None
     assert driver.sends()[0].server == quick.entry.server
+
+
+def warm(driver: Driver, mean: float = 0.02, out: float = 2.0) -> None:
+    """All servers were heard a moment ago, and answer quickly."""
+    for capsule in (*driver.aggregator.capsules.values(), driver.aggregator.fleet):
+        capsule.heard, capsule.heard_at, capsule.mean, capsule.out = 50, driver.now, mean, out
+
+
+def test_a_server_that_stands_still_is_chosen_last_and_what_is_out_there_is_copied() -> None:
+    """Three of four late queries on sockets had a part at a server that answered nothing for 120 ms and more. With a
+    queue its mean is long, and a copy after four means comes too late."""
+    driver = Driver(fleet=FLEET[:2])
+    warm(driver, mean=0.2, out=20.0)
+    still = "s0a"
+    first = [driver.query("all", [0]) for _ in range(6)]
+    stuck = [part for part, _ in driver.out() if driver.attempts[part][0][0] == still]
+    driver.handle(*[driver.ended(*key, Outcome.SERVED, 0.02) for key in driver.out() if key[0] not in stuck])
+    driver.at(driver.now + 0.1)
+    driver.fire()
+    assert stuck and all(driver.attempts[part][1][0] != still for part in stuck)  # copied, at half of its mean
+    later = [driver.query("all", [0]) for _ in range(4)]
+    assert {driver.attempts[part][0][0] for query in later for part in driver.parts[query]} == {"s0b"}
+    driver.end(stuck[0], elapsed=0.1)  # it goes on
+    driver.query("all", [0])
+    assert still in {driver.attempts[part][0][0] for part, _ in driver.out() if part not in stuck}
+    assert all(not isinstance(driver.finals.get(query), Refuse) for query in first)
+
+
+def test_a_class_that_a_server_loses_while_it_answers_others_goes_elsewhere() -> None:
+    """Seen on sockets: five of twelve nodes did not answer three quarters of one class, and all of the others."""
+    driver = Driver(fleet=FLEET[:1])
+    warm(driver)
+    for _ in range(8):
+        driver.query("all", [0])
+        heard = driver.query("some", [0])
+        driver.at(driver.now + 0.03)
+        driver.query("some", [0])
+        driver.handle(*[driver.ended(*key, Outcome.SERVED, 0.03) for key in driver.out()
+                        if driver.query_of[key[0]] >= heard and driver.kind_of(key[0]) == "some"])
+        driver.at(driver.now + 0.03)
+        driver.fire()
+    for each in list(driver.kinds):
+        driver.gone(each)
+    driver.handle(*[driver.ended(*key, Outcome.CANCELLED) for key in driver.out()])
+    driver.list(FLEET[:2])
+    warm(driver)
+    driver.aggregator.capsules["s0a"].failures = []  # what is held of any class
+    hurried = [driver.query("all", [0]) for _ in range(6)]
+    other = driver.query("some", [0])
+    assert {driver.attempts[part][0][0] for each in hurried for part in driver.parts[each]} == {"s0b"}
+    assert [driver.attempts[part][0][0] for part in driver.parts[other]] == ["s0a"]
+
+
+def test_a_pause_is_not_taken_for_deafness() -> None:
+    """All that was out is lost or late, of one class by chance: nothing that was sent later came back before."""
+    driver = Driver(fleet=FLEET[:1])
+    warm(driver)
+    for _ in range(8):
+        driver.query("all", [0])
+    driver.at(driver.now + 0.3)
+    driver.fire()
+    assert not driver.aggregator.deaf(driver.aggregator.capsules["s0a"], "all")
+    assert driver.aggregator.silent(driver.aggregator.capsules["s0a"])
