--- a/tests/platform/test_log.py
+++ b/tests/platform/test_log.py
@@ -7,7 +7,7 @@
 from stepknot.platform.log import make_log, traced, wants_trace
 
 
-def test_a_trace_tells_what_the_module_heard_and_wants_but_for_timers(capsysbinary: pytest.CaptureFixture[bytes]) -> None:
+def test_a_trace_tells_what_is_heard_and_wanted_but_for_timers(capsysbinary: pytest.CaptureFixture[bytes]) -> None:
     asked = {"STEPKNOT_LOG": "trace"}
     assert wants_trace(asked) and not wants_trace({"STEPKNOT_LOG": "debug"}) and not wants_trace({})
     ended = AttemptEnded(7, 0, "s1", Outcome.SERVED, 0.02, True, {"util": 0.5})
