--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -22,7 +22,8 @@
 OPERATE, HTTP = "tests/graphql/test_operations.py", "tests/graphql/test_over_http.py"
 FRAMES, NODES = "tests/platform/test_frames.py", "tests/platform/test_nodes.py"
 ASKS, WATCH = "tests/platform/test_requests.py", "tests/platform/test_discovery.py"
-PROCESS = "tests/platform/test_service.py"
+PROCESS, RARE = "tests/platform/test_service.py", "tests/platform/test_hard_cases.py"
+FAILURES = "tests/test_failures.py"
 SIGTERM = f"{PROCESS}::test_sigterm_serves_what_still_comes_finishes_what_is_in_work_and_exits_with_0"
 Row = tuple[str, str, str, str]
 ROWS: list[Row] = [
@@ -242,6 +243,20 @@
      f"{ASKS}::test_silent_connections_by_hundreds_leave_room_for_whoever_asks"),
     ("net/server.py", "if server.closing and not parser.started and link.peek() is None:", "if server.leaving:",
      SIGTERM),
+    ("net/server.py", "encode_response(response, request, close), self.server.limits.write,",
+     "encode_response(response, request, close), None,", f"{RARE}::test_a_slow_reader_holds_only_its_own_answers"),
+    ("net/loop.py", "if error.errno in OUT_OF:", "if error.errno in OUT_OF:\n                    return",
+     f"{RARE}::test_descriptors_that_run_out_all_the_same_end_neither_accepting_nor_what_is_connected"),
+    ("net/loop.py", "timers, now = self.timers, self.now", "timers, now = self.timers, self.clock()",
+     f"{RARE}::test_after_a_stall_answers_and_ends_in_the_sockets_come_before_time_outs"),
+    ("platform/nodes.py", "        conn.node.connections.remove(conn)\n", "",
+     f"{RARE}::test_a_node_that_vanishes_and_returns_serves_again_and_nothing_is_held_for_it"),
+    ("logic.py", "return deaf, bound, self.silent(capsule)", "return False, bound, self.silent(capsule)",
+     f"{FAILURES}::test_a_class_that_a_server_loses_while_it_answers_others_goes_elsewhere"),
+    ("logic.py", "if not lost or capsule.answered_sent > attempt.sent:", "if True:",
+     f"{FAILURES}::test_a_pause_is_not_taken_for_deafness"),
+    ("logic.py", "self.send_again(query, part, STILL_SHARE)", "pass",
+     f"{FAILURES}::test_a_server_that_stands_still_is_chosen_last_and_what_is_out_there_is_copied"),
 ]
 
 
--- /dev/null
+++ b/tests/platform/test_hard_cases.py
@@ -0,0 +1,102 @@
+"""What seldom happens and must not hurt: slow readers, no descriptors, a stall, a node that vanishes and returns."""
+
+from __future__ import annotations
+
+import resource
+import socket
+import threading
+import time
+from pathlib import Path
+
+from stepknot.interface import Outcome
+from tests.broker.scripted import WAIT, until
+from tests.platform.test_nodes import connections, hold, outcomes
+from tests.platform.test_service import started
+from tests.platform.world import Call, world
+
+
+def test_a_slow_reader_holds_only_its_own_answers() -> None:
+    """It asks for far more than sockets hold and reads nothing: others are served, and its connection ends."""
+    with world() as found:
+        found.nodes[0].script = lambda call: call.answer("x" * 60_000)
+        slow = found.client()
+        asked = b"".join(found.request(x_remaining="2000m") for _ in range(400))  # 24 MB of answers
+        threading.Thread(target=lambda: swallow(slow.sock, asked), daemon=True).start()
+        until(lambda: found.service.core.counts["answered"] > 20)
+        steady = [0]
+
+        def stands() -> bool:  # no more of its answers fit anywhere
+            was, steady[0] = steady[0], found.service.core.counts["answered"]
+            time.sleep(0.05)
+            return was == found.service.core.counts["answered"]
+
+        until(stands)
+        assert found.service.core.counts["answered"] < 400
+        assert [found.ask("list", (1,)).status for _ in range(5)] == [200] * 5
+        until(lambda: not found.service.server.connections)  # it, too, after three seconds without a step
+
+
+def swallow(sock: socket.socket, data: bytes) -> None:
+    try:
+        sock.sendall(data)
+    except OSError:
+        pass
+
+
+def test_descriptors_that_run_out_all_the_same_end_neither_accepting_nor_what_is_connected(tmp_path: Path) -> None:
+    """The platform gives fewer than it told."""
+    with started(tmp_path) as found:
+        known = found.client()
+        assert found.ask(known).status == 200
+        resource.prlimit(found.process.pid, resource.RLIMIT_NOFILE, (24, 24))
+        crowd = [socket.create_connection(found.listen, timeout=WAIT) for _ in range(60)]
+        for number in range(5):
+            assert found.ask(known, x_txn=f"known{number}").status == 200
+        for sock in crowd:
+            sock.close()
+        assert found.ask(x_txn="after").status == 200
+        assert found.process.poll() is None
+
+
+def test_after_a_stall_answers_and_ends_in_the_sockets_come_before_time_outs() -> None:
+    """The broker stands still past the end of all waits; meanwhile one node answered and the other one's connection
+    ended. Neither was silent."""
+    with world() as found:
+        for node in found.nodes:
+            node.script = hold
+        served, lost = found.client(), found.client()
+        served.sock.sendall(found.request("list", (0,), x_remaining="500m"))
+        lost.sock.sendall(found.request("move", (1,), x_remaining="500m"))
+        until(lambda: all(node.calls for node in found.nodes))
+        begun = threading.Event()
+
+        def stall() -> None:
+            begun.set()
+            time.sleep(0.7)
+
+        thread = threading.Thread(target=lambda: found.call(stall))
+        thread.start()
+        assert begun.wait(WAIT)
+        found.nodes[0].calls[0].answer()
+        found.nodes[1].calls[0].close()
+        thread.join(WAIT)
+        assert served.read().status == 200 and lost.read().status == 500
+        assert outcomes(found) == {Outcome.SERVED: 1, Outcome.RESET: 1}
+
+
+def test_a_node_that_vanishes_and_returns_serves_again_and_nothing_is_held_for_it() -> None:
+    """Its connections stay open and quiet; once it is back they end."""
+    with world() as found:
+        node = found.nodes[0]
+        assert found.ask().status == 200
+        node.script = hold
+        assert [found.ask(x_remaining="300m").status for _ in range(4)] == [503] * 4  # none beyond its time
+        assert outcomes(found)[Outcome.TIMED_OUT] >= 1
+        assert len(connections(found)) <= 2 and not found.service.core.out and not found.service.core.held
+        node.script = Call.answer
+        for sock in {call.sock for call in node.calls if call.sock.fileno() >= 0}:
+            sock.shutdown(socket.SHUT_RDWR)
+        until(lambda: found.ask().status == 200)
+        module = found.service.core.module
+        until(lambda: not module.attempts and not found.service.core.out)
+        assert not any(conn.waiting for conn in connections(found))
