--- a/stepknot/logic.py
+++ b/stepknot/logic.py
@@ -49,7 +49,6 @@
 HOLD_GAPS = 2.0  # or for so many times as long as nothing was sent there: who sends rarely must learn too
 SPARE = 0.5  # of the attempt budget, kept for parts without which their query is lost
 OVERDUE = 4.0  # means after which a part is copied elsewhere
-OVERTAKEN = 2.5  # the same where something sent a mean later was answered: it hardly waits its turn
 # A server stands still once nothing came back for so many times what lies between two answers of any server.
 SILENCE = 8.0
 STILL_SHARE = 0.4  # of beta: what is out there is copied to a replica under it; the first try hardly ran
@@ -496,9 +495,9 @@
         capsule.used, capsule.silent_since = self.now, min(capsule.silent_since, self.now)
         self.watch_silence(capsule, self.now)
         self.actions.append(Send(part.part_id, capsule.entry.server, attempt.wait))
-        attempt.mean = self.measure(capsule)[0]
-        if OVERTAKEN * attempt.mean < attempt.wait:
-            self.set_timer(self.now + OVERTAKEN * attempt.mean, partial(self.on_overdue, key))
+        overdue = OVERDUE * self.measure(capsule)[0]
+        if overdue < attempt.wait:
+            self.set_timer(self.now + overdue, partial(self.on_overdue, key))
 
     def on_attempt_ended(self, event: AttemptEnded) -> None:
         attempt = self.attempts.pop((event.part_id, event.attempt), None)
@@ -555,11 +554,6 @@
         if attempt is None:
             return
         query, part = attempt.query, attempt.part
-        overdue = attempt.sent + OVERDUE * attempt.mean
-        if attempt.capsule.answered_sent <= attempt.sent + attempt.mean and self.now < overdue - EPSILON:
-            if overdue < attempt.sent + attempt.wait:
-                self.set_timer(overdue, partial(self.on_overdue, key))
-            return
         attempt.overdue = True
         self.note(attempt, True)
         self.note_class(attempt, True)
--- a/stepknot/records.py
+++ b/stepknot/records.py
@@ -81,5 +81,4 @@
     sent: float
     wait: float
     noted: bool = False  # it is known whether it came back in time
-    mean: float = 0.0  # its server's, as it was sent
     overdue: bool = False  # so many means went by
