--- a/tests/platform/test_nodes.py
+++ b/tests/platform/test_nodes.py
@@ -44,6 +44,19 @@
         assert sorted(client.read().body["matches"][0]["payload"] for client in clients) == ["v0", "v1", "v2", "v3"]
 
 
+def test_parts_that_share_a_call_travel_in_one_frame_and_are_answered_one_by_one() -> None:
+    with world(nodes=1, family={"span": 2, "parts-a-call": 4}) as found:
+        found.nodes[0].script = hold
+        client = found.client()
+        client.sock.sendall(found.request("list", (0, 1)))
+        until(lambda: found.nodes[0].calls)
+        (call,) = found.nodes[0].calls
+        for part, shard, _, _ in reversed(call.parts):
+            call.send(answer(part, f"v{shard}"))
+        assert client.read().body["matches"] == [{"segment": 0, "payload": "v0"}, {"segment": 1, "payload": "v1"}]
+        assert found.service.core.counts["calls"] == 1 and outcomes(found) == {Outcome.SERVED: 2}
+
+
 def test_a_burst_opens_no_more_connections_than_its_calls_need() -> None:
     with world(streams_per_conn=3) as found:
         found.nodes[0].script = hold
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -214,7 +214,7 @@
 
 
 @contextmanager
-def world(nodes: int = 2, known: bool = True, **allowed: Any) -> Iterator[World]:
+def world(nodes: int = 2, known: bool = True, family: dict[str, Any] | None = None, **allowed: Any) -> Iterator[World]:
     """One broker; node s-N holds the shard N mod 2. `known`: it begins with the list as last had."""
     stand_ins = [Node() for _ in range(nodes)]
     rows = [row(node, number) for number, node in enumerate(stand_ins)]
@@ -225,6 +225,7 @@
         "known": {"version": 3, "full": True, "servers": rows if known else []},
         "settings": profile(**{name.replace("_", "-"): value for name, value in allowed.items()}),
     }
+    given["settings"]["family-info"] |= family or {}  # type: ignore[index]
     config = read_config(orjson.dumps(given), "test")
     logged: list[tuple[str, dict[str, Any]]] = []
     service = Service(config, lambda event, **fields: logged.append((event, fields)),
