Test of a shutdown waits for the query's own parts, not for calls that came before

Cause: the test waited for over 20 calls at a box, which the warming queries can make alone; the broker was then stopped before it had read the request, and ended a connection with unread bytes. Ruled out: the core's give_up_all (untouched). Change: it waits until an attempt is out, which can be of this query only.

--- a/tests/broker/test_hard_cases.py
+++ b/tests/broker/test_hard_cases.py
@@ -18,7 +18,7 @@
 from stepknot.net.http import Request, Response
 from stepknot.net.loop import Park
 from stepknot.net.server import Connection
-from tests.broker.scripted import Call, Client, Running, broker, bulk_answer, shard_answer
+from tests.broker.scripted import Call, Client, Running, broker, bulk_answer, shard_answer, until
 
 SEARCH = "/reports/_search"
 
@@ -485,7 +485,7 @@
         box.script = silent
     client = Client(run.connect())
     client.ask("POST", SEARCH)
-    assert wait_any(run.boxes, lambda box: len(box.work()) > 20)
+    until(lambda: run.call(lambda: len(run.service.core.out)))  # of this query: all others have ended
     run.call(run.service.stop)
     assert client.read().status == 429
     run.thread.join(5)
