The trace's row maker no longer shares its name with the log's count

Read again: one name stood for a function and, in make_log, for a table. Behaviour is the same; lint, types and the log's and layers' tests pass.

--- a/stepknot/platform/log.py
+++ b/stepknot/platform/log.py
@@ -25,7 +25,7 @@
     return environment.get("STEPKNOT_LOG") == "trace"
 
 
-def told(each: Event | Action) -> list[object]:
+def as_row(each: Event | Action) -> list[object]:
     return [type(each).__name__, *(getattr(each, field.name) for field in fields(each))]
 
 
@@ -33,8 +33,8 @@
     """The module's calls as before, each told by the loop's clock: what it heard and what it wants done, but timers."""
     def handled(now: float, events: list[Event]) -> list[Action]:
         actions = handle(now, events)
-        heard = [told(each) for each in events if type(each) is not TimerDue]
-        wanted = [told(each) for each in actions if type(each) is not SetTimer]
+        heard = [as_row(each) for each in events if type(each) is not TimerDue]
+        wanted = [as_row(each) for each in actions if type(each) is not SetTimer]
         if heard or wanted:
             log("decided", now=round(now, 4), heard=heard, wanted=wanted)
         return actions
