--- a/stepknot/broker/core.py
+++ b/stepknot/broker/core.py
@@ -128,6 +128,10 @@
         self.inbox.append(event)
         self.loop.again = True
 
+    def note_instances(self, count: int) -> None:
+        """No more brokers than this share the boxes now."""
+        self.post(api.InstancesCounted(count))
+
     # --- queries in
 
     def ask(self, ask: Ask) -> None:
--- a/stepknot/broker/service.py
+++ b/stepknot/broker/service.py
@@ -26,6 +26,7 @@
 from stepknot.broker.core import Core
 from stepknot.broker.gate import Gate
 from stepknot.broker.life import Life
+from stepknot.broker.peering import Peering
 from stepknot.broker.queries import Queries
 from stepknot.config.settings import Config
 from stepknot.discovery.boxlist import FileSource
@@ -104,6 +105,8 @@
                             self.front.http_error) if config.admin is not None else None
         self.source = FileSource(self.loop, config.list_file, config.list_every, self.core.take_list,
                                  lambda trouble: log("box_list_not_taken", trouble=trouble))
+        self.peering = Peering(self.loop, config.peers, chance.getrandbits(62), self.core.note_instances,
+                               log) if config.peers is not None else None
         self.registry = CollectorRegistry()
         self.registry.register(self)
 
@@ -173,6 +176,8 @@
 
     def ending(self) -> Coroutine:
         self.log("stopping", held=len(self.core.held))
+        if self.peering is not None:
+            self.peering.leave()
         self.server.close()
         if self.graph_server is not None:
             self.graph_server.close()
@@ -187,6 +192,8 @@
                 self.loop.now < until):
             yield from self.loop.sleep(0.02)
         self.pool.close()
+        if self.peering is not None:
+            yield from self.peering.end()
         self.loop.stop()
 
     # --- operators
@@ -202,10 +209,12 @@
                 "disturbed": self.zones.disturbed(), "shed": self.core.counts["shed"], "zones": rows}))
         if request.path == "/admission" and self.gate is not None:
             return Response(200, orjson.dumps({"broker": self.name, **self.gate.view()}))
+        if request.path == "/peers" and self.peering is not None:
+            return Response(200, orjson.dumps({"broker": self.name, **self.peering.view()}))
         if request.path.startswith("/admission/") and self.gate is not None:
             return self.change_lists(request)
         return Response(404, orjson.dumps({"error": f"nothing at {request.path}",
-                                           "known": ["/zones", "/admission", *CHANGES]}))
+                                           "known": ["/zones", "/admission", "/peers", *CHANGES]}))
 
     def change_lists(self, request: Request) -> Response:
         """Ban, allow, or take off: `?network=10.0.0.0/8&seconds=600`."""
@@ -288,6 +297,8 @@
                                                len(kept.kept)),
                       GaugeMetricFamily("stepknot_graphql_connections", "Clients connected to the GraphQL front",
                                         len(self.graph_server.connections))]
+        if self.peering is not None:
+            found += self.peering.collect()
         if self.gate is not None:
             admission = self.gate.admission
             decided = CounterMetricFamily("stepknot_admission_decisions", "What admission decided", labels=["what"])
--- a/stepknot/cli/admin.py
+++ b/stepknot/cli/admin.py
@@ -62,3 +62,36 @@
     lines += [f"{kind + ' ' + name:<42} until {until}" for kind in ("banned", "allowed")
               for name, until in found[kind].items()]
     return "\n".join(lines)
+
+
+def ago(seconds: float | None) -> str:
+    return "-" if seconds is None else f"{seconds:.1f}"
+
+
+def peers_table(found: dict[str, Any]) -> str:
+    """The members of one broker's view; ages in seconds."""
+    sure = "sure" if found["sure"] else "not sure"
+    head = (f"{found['name']} in fleet {found['fleet']}: {found['live']} alive, {found['suspect']} suspect; between "
+            f"{found['at_least']} and {found['at_most']} brokers, {sure}; view {found['version']} {found['digest']}")
+    lines = [head]
+    if found["stepped_aside"] or found["isolated"]:
+        lines.append(f"{'STEPPED ASIDE' if found['stepped_aside'] else 'ISOLATED'}: {found['isolated_why']}")
+    lines.append(f"{'member':<24} {'state':<8} {'address':<22} {'epoch':>14} {'inc':>4} {'heard':>7} {'sign':>7} "
+                 f"{'hears me':>8}")
+    for row in found["members"]:
+        name = row["name"] + (" *" if row["self"] else "")
+        lines.append(f"{name:<24} {row['state']:<8} {row['address']:<22} {row['epoch']:>14} {row['incarnation']:>4} "
+                     f"{ago(row['heard']):>7} {ago(row['sign']):>7} {ago(row['hears_me']):>8}")
+    return "\n".join(lines)
+
+
+def peer_story(found: dict[str, Any], name: str) -> str | None:
+    """The evidence for one member's state; none where it is unknown."""
+    for row in found["members"]:
+        if row["name"] == name:
+            watched = (f"watched here: heard {ago(row['heard'])} s ago, last sign of life {ago(row['sign'])} s ago"
+                       f" ({row['sign_by'] or 'none'}), it heard this broker {ago(row['hears_me'])} s ago"
+                       if row["watched"] else "watched by others; what is known here is what they spread")
+            return (f"{name} is {row['state']} since {ago(row['since'])} s, as seen by {found['name']}\n"
+                    f"why: {row['why']}\n{watched}")
+    return None
--- a/stepknot/cli/main.py
+++ b/stepknot/cli/main.py
@@ -221,6 +221,45 @@
         time.sleep(watch)
 
 
+@cli.command()
+@click.argument("admin", type=Address())
+@click.option("--json", "as_json", is_flag=True, help="Print what the broker says as it is.")
+@click.option("--watch", type=click.FloatRange(min=0.1), help="Ask again every so many seconds until interrupted.")
+@click.option("--why", metavar="NAME", help="The evidence for this member's state.")
+def peers(admin: tuple[str, int], as_json: bool, watch: float | None, why: str | None) -> None:
+    """Show whom the broker with the admin socket ADMIN holds to be a member of its fleet, and how sure it is.
+
+    Exit code 1 where it is isolated or stepped aside, 2 where nothing answers or NAME is unknown.
+
+    \b
+    Example: stepknot peers 127.0.0.1:9300 --why b2
+    """
+    import time
+
+    import orjson
+
+    from stepknot.cli.admin import ask, peer_story, peers_table
+
+    while True:
+        try:
+            found = ask(admin, "/peers")
+        except OSError as error:
+            click.echo(f"error: {admin[0]}:{admin[1]}: {error}", err=True)
+            raise SystemExit(2) from None
+        text = peers_table(found)
+        if why is not None:
+            story = peer_story(found, why)
+            if story is None:
+                names = ", ".join(row["name"] for row in found["members"])
+                click.echo(f"error: no member {why}; known: {names}", err=True)
+                raise SystemExit(2)
+            text = story
+        click.echo(orjson.dumps(found) if as_json else text)
+        if not watch:
+            raise SystemExit(1 if found["isolated"] or found["stepped_aside"] else 0)
+        time.sleep(watch)
+
+
 @cli.command()
 @click.argument("admin", type=Address())
 @click.option("--json", "as_json", is_flag=True, help="Print what the broker says as it is.")
--- a/stepknot/cli/serve.py
+++ b/stepknot/cli/serve.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from collections.abc import Callable
 
 import orjson
@@ -24,9 +25,15 @@
 
 
 def run(config: Config, log: Log, load_again: Callable[[], Config] | None = None) -> int:
-    service = make(config, log, load_again)
+    try:
+        service = make(config, log, load_again)
+    except OSError as error:  # an address that is taken, or none of this machine's
+        print(f"error: cannot listen: {error}", file=sys.stderr)
+        return 2
     ready = {"broker": f"http://{config.listen[0]}:{service.server.port}"}
     if config.graphql is not None and service.graph_server is not None:
         ready["graphql"] = f"http://{config.graphql.listen[0]}:{service.graph_server.port}/graphql"
+    if service.peering is not None:
+        ready["peers"] = "{}:{}".format(*service.peering.socket.address[:2])
     print(orjson.dumps(ready).decode(), flush=True)
     return service.run()
--- a/stepknot/config/settings.py
+++ b/stepknot/config/settings.py
@@ -16,6 +16,7 @@
 from stepknot.config.admission import read_admission
 from stepknot.config.graphql import GraphReader, GraphSettings
 from stepknot.config.hcl import Block, ConfigError, Value, parse
+from stepknot.config.peers import Peers, read_peers
 from stepknot.config.readers import (
     Checker,
     Key,
@@ -37,7 +38,7 @@
 MORE_OPERATIONS = {"entities": "mget"}  # those that go by another's class where none names them
 FIELD_TYPES = ("text", "keyword", "long", "integer", "short", "byte", "double", "float", "date", "boolean")
 # Blocks without a name.
-SINGLE = ("fleet", "zones", "rules", "limits", "boxes", "http", "request", "graphql", "admission")
+SINGLE = ("fleet", "zones", "rules", "limits", "boxes", "http", "request", "graphql", "admission", "peers")
 TOP = {
     "name": Key(text, "stepknot"), "zone": Key(text, ""), "listen": Key(address, ("127.0.0.1", 9200)),
     "admin": Key(address, None),
@@ -125,6 +126,7 @@
     zones: ZoneSettings | None = None  # its bounds are derived once the list says how many zones there are
     tenants: dict[str, float] = field(default_factory=dict)  # share of the traffic that each was promised
     admission: AdmissionSettings | None = None  # none: every connection is taken
+    peers: Peers | None = None  # none: this broker knows of no other
     graphql: GraphSettings | None = None  # the second front; none: it is not served
 
 
@@ -164,6 +166,7 @@
     graphql = GraphReader(checker, indices).read(
         single["graphql"], folder) if "graphql" in single else None
     admission = read_admission(checker, single.get("admission"), request["held"] or 1, folder)
+    peers = read_peers(checker, single.get("peers"), plain["listen"], plain["instances"])
     if checker.problems:
         raise ConfigError(sorted(checker.problems, key=lambda each: each.line))
     settings = api.Settings(
@@ -177,7 +180,7 @@
         operations=operations, indices=indices, connections=boxes["connections"],
         connect_timeout=boxes["connect_timeout"], reply=boxes["reply"], http=HttpLimits(**http),
         tenants=tenants, admin=plain["admin"], zones=zone_settings(plain["zone"], zones), graphql=graphql,
-        admission=admission,
+        admission=admission, peers=peers,
         **request,
     )
 
--- a/stepknot/interface.py
+++ b/stepknot/interface.py
@@ -184,7 +184,16 @@
     load: dict[str, float] = field(default_factory=dict)
 
 
-Event = ListReceived | QueryArrived | PartArrived | AttemptEnded | QueryGone | TimerDue | ProbeEnded
+@dataclass(slots=True)
+class InstancesCounted:
+    """No more instances than this may be there now, instead of as many as the settings say. Without this event
+    those count, so nobody need send it."""
+
+    instances: int
+
+
+Event = (ListReceived | QueryArrived | PartArrived | AttemptEnded | QueryGone | TimerDue | ProbeEnded
+         | InstancesCounted)
 
 
 @dataclass(slots=True)
--- a/stepknot/lab/fleet.py
+++ b/stepknot/lab/fleet.py
@@ -110,7 +110,7 @@
 {admission}
 }}
 
-index "{index}" {{
+{peers}index "{index}" {{
   shards = {shards}
 {fields}}}
 
@@ -153,13 +153,24 @@
 def settings_text(**given: Any) -> str:
     values = {"name": "demo", "zone": "a", "port": 0, "admin": 0, "graph": 0, "instances": 2, "cells": 4,
               "shards": 12, "aim": 1.0, "deadline": 3.0, "cold_time": 10, "extra_floor": 20, "zones": "true",
-              "admission": "  enabled = false",
+              "admission": "  enabled = false", "peers": "",
               "index": corpus.INDEX} | given
     values["fields"] = "".join(f'  field "{name}" {{\n    type = "{kind}"\n  }}\n'
                                for name, kind in corpus.FIELDS.items())
     return SETTINGS.format(**values)
 
 
+PEERS = """\
+# Who else serves: brokers of one fleet learn of each other. `stepknot peers ADMIN` shows what is known.
+peers {{
+  name   = "{name}"
+  listen = "127.0.0.1:{port}"
+  seeds  = [{seeds}]
+{more}}}
+
+"""
+
+
 def free_ports(count: int) -> list[int]:
     """Ports that were free a moment ago, all different, and none that a connecting socket may be given meanwhile."""
     chance = random.SystemRandom()
@@ -208,6 +219,9 @@
     zone: str
     admin: int = 0
     graph: int = 0
+    peer: int = 0  # the UDP port of membership; 0: it takes no part
+    name: str = ""  # among its peers
+    peers: dict[str, Any] = field(default_factory=dict)  # further keys of its `peers` block, as HCL
     process: subprocess.Popen[bytes] | None = None
 
     @property
@@ -237,18 +251,20 @@
 
     @classmethod
     def plan(cls, folder: Path, brokers: int, boxes: int, documents: int, port: int = 0, cells: int = 4,
-             zones: str = "ab", **more: Any) -> Fleet:
+             zones: str = "ab", with_peers: bool = False, **more: Any) -> Fleet:
         """`zones`: a letter for each; a cell's boxes are spread over them."""
-        ports = free_ports(3 * brokers + 2 * boxes)
+        ports = free_ports(4 * brokers + 2 * boxes)
         fronts = [port + each for each in range(brokers)] if port else ports[:brokers]
         admins = [port + 100 + each for each in range(brokers)] if port else ports[brokers:2 * brokers]
         graphs = [port + 200 + each for each in range(brokers)] if port else ports[2 * brokers:3 * brokers]
-        rest = ports[3 * brokers:]
+        peers = [port + 300 + each for each in range(brokers)] if port else ports[3 * brokers:4 * brokers]
+        rest = ports[4 * brokers:]
         count = len(zones)
         zone_of = [zones[(number // cells + number % cells * (number // cells // count)) % count]
                    for number in range(boxes)]
         return cls(
-            folder, [Broker(number, each, zones[number % count], admins[number], graphs[number])
+            folder, [Broker(number, each, zones[number % count], admins[number], graphs[number],
+                            peers[number] if with_peers else 0, f"b{number}")
                      for number, each in enumerate(fronts)],
             [Box(number, rest[2 * number], rest[2 * number + 1], number % cells, zone_of[number])
              for number in range(boxes)], documents, cells, **more)
@@ -258,10 +274,17 @@
     def write_settings(self) -> None:
         for broker in self.brokers:
             text = settings_text(port=broker.port, admin=broker.admin, graph=broker.graph,
-                                 zone=broker.zone,
+                                 zone=broker.zone, peers=self.peers_text(broker),
                                  instances=len(self.brokers), cells=self.cells, **self.settings)
             (self.folder / f"broker-{broker.number}.hcl").write_text(text)
 
+    def peers_text(self, broker: Broker) -> str:
+        if not broker.peer:
+            return ""
+        seeds = ", ".join(f'"{each.peers.get("advertise", f"127.0.0.1:{each.peer}")}"' for each in self.brokers[:3])
+        more = "".join(f"  {key} = {orjson.dumps(value).decode()}\n" for key, value in broker.peers.items())
+        return PEERS.format(name=broker.name, port=broker.peer, seeds=seeds, more=more)
+
     def write_list(self) -> None:
         rows = [{"address": box.address, "zone": box.zone, "cell": box.cell, "up_since": box.up_since,
                  "state": "draining" if box.draining else "live"} for box in self.boxes if box.listed]
@@ -353,7 +376,7 @@
     signal.signal(signal.SIGTERM, lambda number, _: stop.append(number))
     signal.signal(signal.SIGINT, lambda number, _: stop.append(number))
     with tempfile.TemporaryDirectory(prefix="stepknot-demo-") as name:
-        fleet = Fleet.plan(Path(name), brokers, boxes, documents, port)
+        fleet = Fleet.plan(Path(name), brokers, boxes, documents, port, with_peers=True)
         try:
             fleet.start(words)
             say(orjson.dumps({"brokers": [broker.url for broker in fleet.brokers],
--- a/stepknot/logic.py
+++ b/stepknot/logic.py
@@ -16,8 +16,8 @@
 from typing import Any
 
 from stepknot.interface import (
-    Action, Answer, AttemptEnded, Cancel, Close, Effect, Event, Fail, ListKind, ListReceived, Narrow,
-    Outcome, PartArrived, Probe, ProbeEnded, QueryArrived, QueryGone, Refuse, Send, ServerEntry,
+    Action, Answer, AttemptEnded, Cancel, Close, Effect, Event, Fail, InstancesCounted, ListKind,
+    ListReceived, Narrow, Outcome, PartArrived, Probe, ProbeEnded, QueryArrived, QueryGone, Refuse, Send, ServerEntry,
     ServerState, SetTimer, Settings, TimerDue, Watch,
 )
 from stepknot.records import Attempt, Call, Capsule, Part, Query
@@ -72,6 +72,7 @@
 
     def __init__(self, settings: Settings, seed: int, narrow: Narrow | None = None) -> None:
         self.settings, self.narrow = settings, narrow
+        self.instances = settings.instances  # that may be there: all share what a cold server bears
         self.random = random.Random(seed)
         self.capsules: dict[str, Capsule] = {}  # of the servers listed, in the list's order
         self.cells: dict[int, list[Capsule]] = {}  # the live ones by the cell of the shards they hold
@@ -94,7 +95,7 @@
         self.handlers: dict[type, Callable[[Any], None]] = {
             AttemptEnded: self.on_attempt_ended, ProbeEnded: self.on_probe_ended, QueryArrived: self.on_query,
             PartArrived: self.on_part, QueryGone: self.on_gone, ListReceived: self.on_list,
-            TimerDue: self.on_timer,
+            TimerDue: self.on_timer, InstancesCounted: self.on_counted,
         }
 
     def handle(self, now: float, events: list[Event]) -> list[Action]:
@@ -130,6 +131,9 @@
             if what:
                 what()
 
+    def on_counted(self, event: InstancesCounted) -> None:
+        self.instances = max(event.instances, 1)
+
     # --- servers
 
     def on_list(self, event: ListReceived) -> None:
@@ -288,7 +292,7 @@
         if capsule.entry.up_since <= 0 or age >= rules.cold_time:
             return True
         able = rules.cold_share + (1 - rules.cold_share) * age / rules.cold_time
-        budget = rules.fall_multiple * able * rules.fall_time / self.measure()[1] / self.settings.instances
+        budget = rules.fall_multiple * able * rules.fall_time / self.measure()[1] / self.instances
         if capsule.credit is None:
             capsule.credit = budget if budget >= 1 else self.random.random()
         else:
--- a/stepknot/net/loop.py
+++ b/stepknot/net/loop.py
@@ -36,6 +36,8 @@
 MOST_EVENTS = 1024  # taken from one poll: the rest stays for the next turn
 ACCEPT_PAUSE = 0.05  # seconds for which a listener rests when descriptors or buffers run out
 SPARE_BATCH = 16  # connections told in a row, by the spare descriptor, that there is no room
+DATAGRAM_BATCH = 64  # datagrams read in a row before others have their turn
+MOST_DATAGRAM = 2048  # bytes read of one: what is longer is cut, and too long for any protocol here
 ACCEPT_BATCH = 64  # connections accepted in a row before others have their turn
 OUT_OF = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
 SLICE = 0.025  # seconds of a turn after which tasks that are due wait for the next one
@@ -69,6 +71,16 @@
         sock.listen(backlog)
         return sock
 
+    def datagrams(self, host: str, port: int) -> socket.socket:
+        sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_DGRAM)
+        sock.setblocking(False)
+        try:
+            sock.bind((host, port))
+        except OSError:
+            sock.close()
+            raise
+        return sock
+
     def connect(self, host: str, port: int, source: str = "") -> socket.socket:
         """A socket that is connecting; it becomes writable when it is connected or has failed."""
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
@@ -338,6 +350,12 @@
     ) -> Listener:
         return Listener(self, self.network.listen(host, port), on_accept)
 
+    def datagrams(
+        self, host: str, port: int, on_datagram: Callable[[tuple[Any, ...], bytes], None]
+    ) -> Datagrams:
+        """A UDP socket bound there. Raises OSError."""
+        return Datagrams(self, self.network.datagrams(host, port), on_datagram)
+
     def connect(self, host: str, port: int, timeout: float, source: str = "") -> Generator[Park, Any, Link]:
         """A connected link. Raises OSError, or Expired after `timeout` seconds."""
         link = Link(self, self.network.connect(host, port, source))
@@ -592,3 +610,38 @@
         if self.spare is not None:
             os.close(self.spare)
             self.spare = None
+
+
+class Datagrams:
+    """A UDP socket. Nothing waits for it: what the kernel does not take now is lost, as datagrams may be anyway."""
+
+    def __init__(self, loop: Loop, sock: Any, on_datagram: Callable[[tuple[Any, ...], bytes], None]) -> None:
+        self.loop, self.on_datagram = loop, on_datagram
+        self.address: tuple[Any, ...] = sock.getsockname()
+        self.lost = 0  # not taken by the kernel
+        self.link = Link(loop, sock)
+        self.link.on_readable = self.read
+
+    def read(self) -> None:
+        """All that is there, in batches: the next edge comes only once the socket was empty."""
+        for _ in range(DATAGRAM_BATCH):
+            if self.link.closed:
+                return
+            try:
+                data, source = self.link.sock.recvfrom(MOST_DATAGRAM)
+            except BlockingIOError:
+                return
+            except OSError:  # an earlier one could not be delivered: the network's word on that is not needed
+                continue
+            self.on_datagram(source, data)
+        self.loop.call_later(0.0, self.read)
+        self.loop.again = True
+
+    def send(self, address: tuple[str, int], data: bytes) -> None:
+        try:
+            self.link.sock.sendto(data, address)
+        except OSError:
+            self.lost += 1
+
+    def close(self) -> None:
+        self.link.close()
--- /dev/null
+++ b/stepknot/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Membership among the brokers of one fleet: who is there, decided without I/O and clock (`docs/peers.md`)."""
--- /dev/null
+++ b/stepknot/peers/wire.py
@@ -0,0 +1,105 @@
+"""Datagrams: one envelope each, in MessagePack by msgspec, which also checks types, lengths and ranges.
+
+Every datagram carries its sender's own record, so whatever arrives proves that this process runs, and that it still
+reaches us.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+
+from stepknot.peers.model import MOST_INCARNATION, NAME, Record
+
+VERSION = 1
+MOST_BYTES = 1200  # of a datagram: it fits every path without being cut up
+RECORDS = 16  # in one datagram: 16 of the longest names would not fit, so senders look at the size too
+ASKED = 16  # members in one question: 16 of the longest names and their signs fit
+BUCKETS = 64  # parts of the table: so much of it is compared at a time as one datagram holds
+PRINTS = 256  # of records, four bytes each, in one datagram
+DIGEST = Annotated[int, msgspec.Meta(ge=0, lt=2**62)]
+MILLISECONDS = Annotated[int, msgspec.Meta(ge=-1, lt=2**31)]
+
+
+class Beat(msgspec.Struct, array_like=True, tag=1, frozen=True):
+    """I run, and this is what I heard of you."""
+
+    heard: MILLISECONDS  # ago, when something of yours last came here; -1: never
+    digest: DIGEST  # of the sender's view
+    held: Annotated[int, msgspec.Meta(ge=-1, lt=MOST_INCARNATION)] = -1  # the incarnation of yours that is held
+    #   to be suspect or dead here
+    reply: bool = False  # answer at once
+    isolated: bool = False  # the sender's word on itself
+
+
+class Ask(msgspec.Struct, array_like=True, tag=2, frozen=True):
+    """When did you last hear these?"""
+
+    names: Annotated[list[NAME], msgspec.Meta(max_length=ASKED)]
+
+
+class Sign(msgspec.Struct, array_like=True, frozen=True):
+    """One member as heard by the sender itself."""
+
+    name: NAME
+    epoch: int
+    birth: int
+    heard: MILLISECONDS  # ago; -1: never
+
+
+class Tell(msgspec.Struct, array_like=True, tag=3, frozen=True):
+    signs: Annotated[list[Sign], msgspec.Meta(max_length=ASKED)]
+
+
+class News(msgspec.Struct, array_like=True, tag=4, frozen=True):
+    records: Annotated[list[Record], msgspec.Meta(max_length=64)]
+
+
+class Join(msgspec.Struct, array_like=True, tag=5, frozen=True):
+    """Let me in: tell me of my own name first, then of all."""
+
+
+class Sync(msgspec.Struct, array_like=True, tag=6, frozen=True):
+    """What I have in some buckets of the table, a print for each record: send what is not among it."""
+
+    first: Annotated[int, msgspec.Meta(ge=0, lt=BUCKETS)]
+    last: Annotated[int, msgspec.Meta(ge=0, lt=BUCKETS)]
+    prints: Annotated[bytes, msgspec.Meta(max_length=4 * PRINTS)]
+
+
+Message = Beat | Ask | Tell | News | Join | Sync
+
+
+class Envelope(msgspec.Struct, array_like=True, frozen=True):
+    version: int
+    fleet: Annotated[str, msgspec.Meta(max_length=64)]
+    sender: Record
+    message: Message
+
+
+class Unusable(Exception):
+    """A datagram that is none of ours; its text is the reason it is counted under."""
+
+
+encoder = msgspec.msgpack.Encoder()
+decoder = msgspec.msgpack.Decoder(Envelope)
+
+
+def encode(fleet: str, sender: Record, message: Message) -> bytes:
+    return encoder.encode(Envelope(VERSION, fleet, sender, message))
+
+
+def decode(data: bytes, fleet: str) -> Envelope:
+    """Raises Unusable."""
+    if len(data) > MOST_BYTES:
+        raise Unusable("too long")
+    try:
+        found = decoder.decode(data)
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError):
+        raise Unusable("malformed") from None
+    if found.version != VERSION:
+        raise Unusable("another version")
+    if found.fleet != fleet:
+        raise Unusable("another fleet")
+    return found
