--- a/tests/platform/test_hard_cases.py
+++ b/tests/platform/test_hard_cases.py
@@ -111,5 +111,5 @@
         client.sock.sendall(found.request(x_remaining="400m"))
         until(lambda: found.nodes[0].calls)
         (ask,) = found.call(lambda: list(found.service.core.held.values()))
-        assert ask.deadline - ask.arrived <= 0.39
+        assert ask.deadline - ask.arrived <= 0.39 + 1e-9  # two clock readings, rounded
         assert client.read().status == 503
