--- a/stepknot/lab/day.py
+++ b/stepknot/lab/day.py
@@ -20,6 +20,7 @@
 from stepknot.boxes.pool import Exchange, Pool
 from stepknot.lab import clients, corpus
 from stepknot.lab.fleet import Box, Broker, Fleet, read_ready, readable
+from stepknot.lab.links import Rule
 from stepknot.lab.script import BOX_FAULTS, Script, Step
 from stepknot.lab.tap import Tap
 from stepknot.net.http import ClientParser, HttpError
@@ -196,6 +197,20 @@
         self.loop.call_later(step.lasts, go_on)
         self.say(step, [broker.port])
 
+    def do_part_peers(self, step: Step) -> None:
+        names, links = [each.name for each in self.fleet.brokers], self.fleet.links
+        assert links is not None, "the brokers of this day do not know each other"
+        links.part(names[:step.boxes], names[step.boxes:])
+        self.loop.call_later(step.lasts, links.heal)
+        self.say(step, names[:step.boxes])
+
+    def do_lose_peers(self, step: Step) -> None:
+        links = self.fleet.links
+        assert links is not None, "the brokers of this day do not know each other"
+        links.rest = Rule(loss=step.share)
+        self.loop.call_later(step.lasts, links.heal)
+        self.say(step, [each.name for each in self.fleet.brokers])
+
     def do_list_late(self, step: Step) -> None:
         self.list_frozen = True
 
@@ -358,14 +373,20 @@
 
 def run_day(folder: Path, script: Script, brokers: int, boxes: int, documents: int, seed: int,
             words: Callable[[str], None], log_level: str = "info", cold_time: float = 4.0, work_ms: float = 4.0,
-            program: tuple[str, ...] = ("-m", "stepknot"), names: str = "ab", **settings: Any) -> Counter[str]:
-    """Start a fleet, let the day happen, stop the fleet. The records stay in `folder`. `names`: a letter a zone."""
+            program: tuple[str, ...] = ("-m", "stepknot"), names: str = "ab", peers: dict[str, Any] | None = None,
+            **settings: Any) -> Counter[str]:
+    """Start a fleet, let the day happen, stop the fleet. The records stay in `folder`. `names`: a letter a zone.
+    `peers`: keys of that block, by which the brokers know each other, over links that can fail."""
     folder.mkdir(parents=True, exist_ok=True)
     for old in folder.glob("*.tap"):
         old.unlink()
     fleet = Fleet.plan(folder, brokers, boxes, documents, taps=True, log_level=log_level, work_ms=work_ms,
-                       program=program, zones=names,
+                       program=program, zones=names, with_peers=peers is not None,
                        settings={"cold_time": cold_time, "deadline": DEADLINE, "admission": ADMISSION, **settings})
+    if peers is not None:
+        fleet.relay(seed)
+        for broker in fleet.brokers:
+            broker.peers |= peers
     day = Day(fleet, script, seed, words)
     try:
         fleet.start(words)
--- a/stepknot/lab/fleet.py
+++ b/stepknot/lab/fleet.py
@@ -21,6 +21,7 @@
 import orjson
 
 from stepknot.lab import corpus
+from stepknot.lab.links import Links
 
 READY_WITHIN = 60.0  # seconds for a process to come up
 LISTENING = 10_000, 32_000  # ports: below those that connecting sockets get
@@ -248,6 +249,7 @@
     log_level: str = "info"
     on_list: Callable[[list[dict[str, Any]], float], None] | None = None
     program: tuple[str, ...] = ("-m", "stepknot")  # what runs the brokers, for comparisons
+    links: Links | None = None  # between the brokers, where they fail on command
 
     @classmethod
     def plan(cls, folder: Path, brokers: int, boxes: int, documents: int, port: int = 0, cells: int = 4,
@@ -269,6 +271,14 @@
             [Box(number, rest[2 * number], rest[2 * number + 1], number % cells, zone_of[number])
              for number in range(boxes)], documents, cells, **more)
 
+    def relay(self, seed: int) -> Links:
+        """Lead the brokers' datagrams through links that can be made to fail."""
+        self.links = Links({broker.name: broker.peer for broker in self.brokers}, seed)
+        for broker in self.brokers:
+            broker.peers["advertise"] = self.links.address(broker.name)
+        self.links.start()
+        return self.links
+
     # --- files
 
     def write_settings(self) -> None:
@@ -340,6 +350,8 @@
             read_ready(broker.process, f"broker {broker.number}")
 
     def stop(self) -> None:
+        if self.links is not None:
+            self.links.stop()
         started = [*(each.process for each in self.brokers), *(each.process for each in self.boxes)]
         processes = [each for each in started if each is not None]
         for process in processes:
--- a/stepknot/peers/members.py
+++ b/stepknot/peers/members.py
@@ -74,6 +74,7 @@
     hears_me: float = -math.inf  # when it last heard something from here, by its own word
     beat_at: float = 0.0
     ask_at: float = 0.0
+    teller: str = ""  # who told of a sign when nothing was heard here: a way round a cut, asked first next time
     differs_since: float = math.inf  # its view has another digest
     told: dict[str, float] = field(default_factory=dict)  # who had nothing younger, and when that was said
 
@@ -389,6 +390,8 @@
             record, watched = self.table.records.get(sign.name), self.watched.get(sign.name)
             if record is None or watched is None or record.process != (sign.epoch, sign.birth):
                 continue
+            if 0 <= sign.heard <= self.settings.period * 1000:
+                watched.teller = sender.name
             if sign.heard >= 0:
                 watched.note(now - sign.heard / 1000, f"{sender.name} heard it")
             watched.told[sender.name] = now
@@ -482,9 +485,11 @@
                 self.beat(now, name, reply=True)
         count, others = self.settings.helpers, self.others()
         heard = [name for name in others if name in self.watched]
-        asked = dict.fromkeys(self.random.sample(heard, min(len(heard), count // 2)))
+        tellers = dict.fromkeys(self.watched[name].teller for name in names)
+        asked = dict.fromkeys(name for name in others if name in tellers)
+        asked |= dict.fromkeys(self.random.sample(heard, min(len(heard), count // 2)))
         asked |= dict.fromkeys(self.random.sample(others, min(len(others), count)))
-        for name in list(asked)[:count]:
+        for name in list(asked)[:2 * count]:
             self.emit(now, self.table.records[name].address, wire.Ask(names), ANSWERS)
 
     def confirmed(self, now: float, watched: Watched, others: list[str]) -> bool:
--- /dev/null
+++ b/tests/peers/test_model.py
@@ -0,0 +1,294 @@
+"""Membership at size on a virtual clock: each run is drawn from its seed and says the same every time."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from stepknot.lab.peers_model import Model
+from stepknot.peers.model import Counts, PeerSettings, State
+
+SIZE = 20
+SETTINGS = PeerSettings()
+KNOWN = SETTINGS.dead_after + 1.0  # seconds in which a crash is known to all, without loss
+
+
+def ready(size: int = SIZE, seed: int = 1, settings: PeerSettings | None = None) -> Model:
+    model = Model(size, seed, settings)
+    model.run(2.0)
+    assert settle(model, 20.0) is not None
+    model.run(model.now + 8.0)
+    return model
+
+
+def settle(model: Model, within: float) -> float | None:
+    """Seconds until all views are right, checked by their states and by digest; none: they are not."""
+    begun = model.now
+    for _ in model.steps(begun + within):
+        if model.settled() and len({each.member.table.digest for each in model.up()}) == 1:  # type: ignore[attr-defined]
+            return model.now - begun
+    return None
+
+
+def told(model: Model, name: str, state: State, since: float = 0.0) -> dict[str, float]:
+    """When each member first held this of that one."""
+    found: dict[str, float] = {}
+    for when, at, change in model.log:
+        if change.name == name and change.after is state and when >= since:
+            found.setdefault(at, when)
+    return found
+
+
+def counts(model: Model, name: str) -> Counts:
+    return model.processes[name].member.count(model.now)
+
+
+def deaths(model: Model, since: float) -> set[str]:
+    return {change.name for when, _, change in model.log if change.after is State.DEAD and when >= since}
+
+
+def halves(model: Model, count: int) -> tuple[set[str], set[str]]:
+    names = [each.name for each in model.up()]
+    return set(names[:count]), set(names[count:])
+
+
+def part(model: Model, one: set[str]) -> None:
+    model.network.cut = lambda source, target: (source in one) != (target in one)
+
+
+def heal(model: Model) -> None:
+    model.network.cut = lambda source, target: False
+
+
+@pytest.mark.parametrize("size", [3, 7, 20, 60])
+def test_a_crash_is_known_to_all_and_nobody_else_is_held_dead(size: int) -> None:
+    model = ready(size, seed=size)
+    at = model.now
+    model.kill("b1")
+    model.run(at + KNOWN)
+    found = told(model, "b1", State.DEAD, at)
+    assert len(found) == size - 1
+    assert SETTINGS.pause <= min(found.values()) - at and max(found.values()) - at <= KNOWN
+    assert deaths(model, at) == {"b1"}
+    assert counts(model, "b2") == Counts(size - 1, size, True)  # it may live on, cut off: it counts still
+
+
+def test_a_leave_is_told_and_is_no_death() -> None:
+    model = ready()
+    at = model.now
+    model.leave("b3")
+    model.run(at + 3.0)
+    assert len(told(model, "b3", State.LEFT, at)) == SIZE  # its own view too
+    model.run(at + 20.0)
+    assert not deaths(model, at) and counts(model, "b0") == Counts(SIZE - 1, SIZE - 1, True)
+
+
+def test_a_restart_with_a_clock_set_back_takes_an_epoch_above_the_old_one() -> None:
+    model = ready()
+    old = model.processes["b3"].member.own.epoch
+    model.kill("b3")
+    process = model.start("b3", epoch=1)
+    assert settle(model, 10.0) is not None
+    assert process.member.own.epoch > old
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_loss_of_three_in_ten_copies_and_overtaking_hold_nobody_dead(seed: int) -> None:
+    model = ready(seed=seed)
+    model.network.loss, model.network.copies, model.network.late = 0.3, 0.2, 0.1
+    at = model.now
+    model.run(at + 120.0)
+    assert not deaths(model, at)
+    crashed = model.now
+    model.kill("b4")
+    model.run(crashed + 2 * KNOWN)  # slower by this factor at the most
+    assert len(told(model, "b4", State.DEAD, crashed)) == SIZE - 1 and deaths(model, at) == {"b4"}
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_fifth_that_stands_still_for_up_to_five_seconds_is_not_held_dead(seed: int) -> None:
+    model = ready(seed=seed)
+    at = model.now
+    for begin in range(0, 120, 10):
+        for number in range(0, SIZE, 5):
+            model.at(at + begin + model.random.uniform(0, 4), lambda number=number: model.pause(
+                f"b{number}", model.random.uniform(0.5, 5.0)))
+    model.run(at + 130.0)
+    assert not deaths(model, at)
+    assert settle(model, 15.0) is not None
+
+
+def test_who_stood_still_too_long_is_held_dead_holds_nobody_dead_and_comes_back() -> None:
+    model = ready()
+    at = model.now
+    model.pause("b5", 8.0)
+    model.run(at + 7.9)
+    assert deaths(model, at) == {"b5"}
+    assert settle(model, 10.0) is not None
+    assert {change.name for when, name, change in model.log if name == "b5" and when >= at + 8.0
+            and change.after in (State.DEAD, State.SUSPECT)} == set()
+
+
+@pytest.mark.parametrize("share", [0.6, 1.0])
+def test_when_most_or_all_stand_still_nobody_is_held_dead(share: float) -> None:
+    model = ready()
+    at = model.now
+    for number in range(int(SIZE * share)):
+        model.pause(f"b{number}", 8.0)
+    model.run(at + 8.5)
+    assert not deaths(model, at)
+    assert settle(model, 15.0) is not None
+
+
+ONE_SIDED: dict[str, Callable[[str, str], bool]] = {
+    "b1 is not heard by b2": lambda source, target: (source, target) == ("b1", "b2"),
+    "b1 reaches all but b2 and hears all but b3": lambda source, target: (source, target) in (
+        ("b1", "b2"), ("b3", "b1")),
+    "b1 is heard by no more than most": lambda source, target: source == "b1" and int(target[1:]) % 2 == 0
+    and target != "b0",
+    "b1 hears no more than most": lambda source, target: target == "b1" and int(source[1:]) % 2 == 0
+    and source != "b0",
+}
+
+
+@pytest.mark.parametrize("kind", ONE_SIDED)
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_one_sided_cut_that_leaves_a_majority_takes_nobody_out(kind: str, seed: int) -> None:
+    model = ready(seed=seed)
+    at = model.now
+    model.network.cut = ONE_SIDED[kind]
+    model.run(at + 90.0)
+    assert not deaths(model, at)
+    heal(model)
+    assert settle(model, 15.0) is not None
+
+
+def test_who_hears_all_and_is_heard_by_nobody_learns_it_and_the_others_go_on() -> None:
+    model = ready()
+    at = model.now
+    model.network.cut = lambda source, target: source == "b1"
+    model.run(at + 5.0)
+    assert not counts(model, "b1").sure
+    model.run(at + 30.0)
+    assert deaths(model, at) == {"b1"} and model.processes["b1"].member.isolated  # type: ignore[attr-defined]
+    heal(model)
+    assert settle(model, 15.0) is not None
+
+
+def test_who_hears_nobody_and_is_heard_by_all_stays_a_member_and_holds_nobody_dead() -> None:
+    model = ready()
+    at = model.now
+    model.network.cut = lambda source, target: target == "b1"
+    model.run(at + 60.0)
+    assert not deaths(model, at) and model.processes["b1"].member.isolated  # type: ignore[attr-defined]
+    heal(model)
+    assert settle(model, 15.0) is not None
+
+
+@pytest.mark.parametrize("smaller", [9, 10])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_only_the_greater_part_of_a_split_holds_others_dead_and_both_find_each_other(smaller: int, seed: int) -> None:
+    model = ready(seed=seed)
+    at = model.now
+    small, great = halves(model, smaller)
+    part(model, small)
+    for _ in model.steps(at + 60.0):
+        for each in model.up():  # a count to divide by is never under what may truly be there
+            count = each.member.count(model.now)
+            assert count.at_most >= SIZE and count.at_least <= SIZE
+    gone = deaths(model, at)
+    assert gone == (small if smaller < 10 else set())
+    assert all(model.processes[name].member.isolated for name in small)  # type: ignore[attr-defined]
+    heal(model)
+    assert settle(model, 15.0) is not None
+
+
+def test_of_two_groups_that_a_bridge_joins_nobody_is_held_dead_whom_most_reach() -> None:
+    model = ready()
+    at = model.now
+    small, great = halves(model, 8)
+    bridge = min(small)
+    model.network.cut = lambda source, target: bridge not in (source, target) and (source in small) != (
+        target in small)
+    model.run(at + 60.0)
+    assert deaths(model, at) <= small - {bridge}  # these are reached by eight of twenty
+    heal(model)
+    assert settle(model, 15.0) is not None
+
+
+def test_seven_of_ten_killed_at_once_are_waited_for_and_come_back() -> None:
+    model = ready()
+    at = model.now
+    killed = [f"b{number}" for number in range(SIZE) if number % 10 < 7]
+    for name in killed:
+        model.kill(name)
+    model.run(at + 20.0)
+    assert not deaths(model, at)  # a fleet that died looks like a cut from inside: none dares say so
+    for each in model.up():
+        count = each.member.count(model.now)
+        assert count.at_least <= SIZE - len(killed) and count.at_most >= SIZE and not count.sure
+    for name in killed:
+        model.start(name)
+    assert settle(model, 20.0) is not None
+
+
+def test_an_old_process_that_wakes_under_a_name_that_was_taken_over_steps_aside() -> None:
+    model = ready()
+    old = model.processes["b4"]
+    model.pause("b4", 12.0)
+    model.run(model.now + 8.0)
+    new = model.start("b4", address=("127.0.0.1", 999))
+    model.run(model.now + 10.0)
+    assert old.member.stepped_aside and not new.member.stepped_aside  # type: ignore[attr-defined]
+    assert settle(model, 10.0) is not None
+
+
+def test_a_member_cut_off_for_long_takes_no_share_before_others_stop_counting_it() -> None:
+    model = ready(settings=PeerSettings(tombstone=60.0))
+    part(model, {"b1"})
+    at = model.now
+    counted_again = None
+    for _ in model.steps(at + 90.0, step=0.5):
+        greatest = counts(model, "b1").at_most
+        if counted_again is None and counts(model, "b2").at_most < SIZE:
+            counted_again = model.now
+        assert counted_again is None or greatest >= 1_000_000
+    assert counted_again is not None
+
+
+def test_flapping_links_end_in_views_that_agree() -> None:
+    model = ready()
+    small, _ = halves(model, 6)
+    for _ in range(12):
+        part(model, small)
+        model.run(model.now + 1.5)
+        heal(model)
+        model.run(model.now + 1.0)
+    assert settle(model, 15.0) is not None
+
+
+def test_the_rate_holds_in_every_trouble() -> None:
+    model = ready()
+    at, before = model.now, {each.name: each.sent for each in model.up()}
+    model.network.loss = 0.3
+    small, _ = halves(model, 9)
+    part(model, small)
+    model.run(at + 60.0)
+    heal(model)
+    model.run(at + 120.0)
+    settings = model.settings
+    for each in model.up():
+        assert each.sent - before[each.name] <= settings.rate * 120.0 + 2 * settings.burst
+
+
+def test_the_same_seed_is_the_same_run() -> None:
+    def run(seed: int) -> str:
+        model = Model(12, seed)
+        model.network.loss = 0.2
+        model.at(15.0, lambda: model.kill("b1"))
+        model.at(16.0, lambda: model.pause("b2", 7.0))
+        model.run(40.0)
+        return model.trace
+
+    assert run(5) == run(5) != run(6)
--- /dev/null
+++ b/tests/peers/test_processes.py
@@ -0,0 +1,323 @@
+"""Seven processes of the program with links between them that fail: cuts of one side, stalls, splits, loss, restarts.
+
+Times are a bit under half of the defaults: who stands still for 2 s is borne, a death takes 2.25 s, or 4.5 where many
+are lost at once. Queries run all the time and each gets its answer.
+"""
+
+from __future__ import annotations
+
+import http.client
+import os
+import signal
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+
+from stepknot.cli.admin import ask
+from stepknot.lab.audit import Records, audit
+from stepknot.lab.day import run_day
+from stepknot.lab.fleet import Broker, Fleet, read_ready
+from stepknot.lab.links import Links, Rule
+from stepknot.lab.script import Script, Step
+
+PERIOD, PAUSE = 0.25, 2.0
+DEATH = PAUSE + PERIOD
+SLOW = 30.0  # seconds for what takes a few, on a machine with much else to do
+NAMES = [f"b{number}" for number in range(7)]
+KEYS = {"period": PERIOD, "pause": PAUSE, "tombstone": 120.0}
+
+
+class Brokers:
+    """The fleet as the tests see it."""
+
+    def __init__(self, fleet: Fleet, links: Links) -> None:
+        self.fleet, self.links = fleet, links
+        self.asked = 0
+        self.stopped: set[str] = set()
+
+    def __getitem__(self, name: str) -> Broker:
+        return next(each for each in self.fleet.brokers if each.name == name)
+
+    def view(self, name: str) -> dict[str, Any]:
+        return ask(("127.0.0.1", self[name].admin), "/peers")
+
+    def alive(self, name: str) -> set[str]:
+        return {row["name"] for row in self.view(name)["members"] if row["state"] == "alive"}
+
+    def out(self, gone: set[str]) -> bool:
+        """Whether all others hold exactly these to be dead."""
+        return all({row["name"] for row in self.view(name)["members"] if row["state"] == "dead"} == gone
+                   for name in NAMES if name not in gone | self.stopped)
+
+    def query(self) -> None:
+        """One of those that run answers a search, whatever became of the others."""
+        running = [name for name in NAMES if name not in self.stopped]
+        if not running:
+            return
+        broker = self[running[self.asked % len(running)]]
+        self.asked += 1
+        connection = http.client.HTTPConnection("127.0.0.1", broker.port, timeout=5)
+        try:
+            connection.request("POST", "/reports/_search", orjson.dumps({"size": 1}),
+                               {"content-type": "application/json"})
+            response = connection.getresponse()
+            response.read()
+            assert response.status in (200, 429, 503), response.status
+        finally:
+            connection.close()
+
+    def until(self, what: Callable[[], bool], within: float = SLOW) -> None:
+        end = time.monotonic() + within
+        while not what():
+            assert time.monotonic() < end, {name: (self.alive(name), self.view(name)["isolated_why"])
+                                            for name in NAMES if name not in self.stopped}
+            self.query()
+            time.sleep(0.05)
+
+    def watch(self, seconds: float) -> None:
+        """Let it go on for so long: to see that something does not happen, there is nothing to wait for."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            self.query()
+            time.sleep(0.05)
+
+    def agreed(self) -> bool:
+        views = [self.view(name) for name in NAMES]
+        return len({view["digest"] for view in views}) == 1 and all(
+            view["live"] == 7 and view["sure"] for view in views)
+
+    def agree(self) -> None:
+        self.until(self.agreed)
+
+    def changes(self, name: str) -> list[dict[str, Any]]:
+        text = (self.fleet.folder / f"broker-{self[name].number}.log").read_bytes()
+        return [orjson.loads(line) for line in text.splitlines() if b'"peer' in line]
+
+    def dead(self, since: dict[str, int]) -> set[str]:
+        """Who was held dead by anybody since then."""
+        return {row["peer"] for name in NAMES for row in self.changes(name)[since[name]:]
+                if row["event"] == "peer_changed" and row["new"] == "dead"}
+
+    def mark(self) -> dict[str, int]:
+        return {name: len(self.changes(name)) for name in NAMES}
+
+    def stop(self, *names: str) -> None:
+        for name in names:
+            process = self[name].process
+            assert process is not None
+            os.kill(process.pid, signal.SIGSTOP)
+        self.stopped |= set(names)
+
+    def go_on(self, *names: str) -> None:
+        for name in names:
+            process = self[name].process
+            assert process is not None
+            os.kill(process.pid, signal.SIGCONT)
+        self.stopped -= set(names)
+
+    def end(self, *names: str, by: int = signal.SIGKILL) -> None:
+        self.stopped |= set(names)
+        for name in names:
+            process = self[name].process
+            assert process is not None
+            process.send_signal(by)
+        for name in names:
+            process = self[name].process
+            assert process is not None
+            process.wait(20)
+
+    def start(self, *names: str) -> None:
+        for name in names:
+            self.fleet.start_broker(self[name])
+        for name in names:
+            read_ready(self[name].process, name)
+        self.stopped -= set(names)
+
+
+@pytest.fixture(scope="module")
+def running(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Brokers]:
+    fleet = Fleet.plan(tmp_path_factory.mktemp("peers"), 7, 4, 400, cells=2, work_ms=0.5, with_peers=True)
+    links = fleet.relay(seed=3)
+    for broker in fleet.brokers:
+        broker.peers |= KEYS
+    try:
+        fleet.start(lambda text: None)
+        yield Brokers(fleet, links)
+    finally:
+        fleet.stop()
+
+
+@pytest.fixture
+def brokers(running: Brokers) -> Brokers:
+    running.links.heal()
+    running.agree()
+    return running
+
+
+def test_whoever_is_not_heard_by_one_is_heard_by_the_others_and_stays(brokers: Brokers) -> None:
+    since = brokers.mark()
+    brokers.links.cut(["b1"], ["b2"])
+    brokers.links.cut(["b4"], ["b1"])
+    brokers.watch(3 * DEATH)
+    assert not brokers.dead(since)
+    (row,) = [row for row in brokers.view("b2")["members"] if row["name"] == "b1"]
+    assert row["state"] == "alive" and not row["reachable"] and row["sign_by"].endswith("heard it")
+
+
+def test_whoever_is_heard_by_nobody_learns_it_and_is_out_until_it_is_heard_again(brokers: Brokers) -> None:
+    since = brokers.mark()
+    others = [name for name in NAMES if name != "b1"]
+    brokers.links.cut(["b1"], others)
+    brokers.until(lambda: brokers.out({"b1"}) and bool(brokers.view("b1")["isolated"]))
+    view = brokers.view("b1")
+    assert view["isolated"] and not view["sure"] and view["at_most"] >= 7
+    assert brokers.dead(since) == {"b1"}
+    brokers.links.heal()
+    brokers.agree()
+
+
+def test_whoever_hears_nobody_says_so_and_holds_nobody_dead(brokers: Brokers) -> None:
+    since = brokers.mark()
+    brokers.links.cut([name for name in NAMES if name != "b1"], ["b1"])
+    brokers.until(lambda: bool(brokers.view("b1")["isolated"]))
+    brokers.watch(3 * DEATH)
+    assert not brokers.dead(since)
+    assert brokers.alive("b0") == set(NAMES)
+
+
+def test_one_that_stands_still_for_long_is_out_and_comes_back_and_blames_nobody(brokers: Brokers) -> None:
+    since = brokers.mark()
+    brokers.stop("b3")
+    brokers.until(lambda: brokers.out({"b3"}))
+    brokers.go_on("b3")
+    brokers.agree()
+    assert brokers.dead(since) == {"b3"}
+    assert brokers.view("b3")["counters"]["stood still"] >= 1
+
+
+def test_one_that_stands_still_for_less_than_the_bound_is_not_out(brokers: Brokers) -> None:
+    since = brokers.mark()
+    brokers.stop("b3")
+    brokers.watch(PAUSE - 0.3)
+    brokers.go_on("b3")
+    brokers.agree()
+    assert not brokers.dead(since)
+
+
+@pytest.mark.parametrize("count", [4, 7])
+def test_when_most_or_all_stand_still_nobody_is_held_dead(brokers: Brokers, count: int) -> None:
+    since = brokers.mark()
+    brokers.stop(*NAMES[:count])
+    brokers.watch(3.5 * DEATH)
+    brokers.go_on(*NAMES[:count])
+    brokers.agree()
+    assert not brokers.dead(since)
+
+
+def test_a_split_of_four_and_three_heals(brokers: Brokers) -> None:
+    since = brokers.mark()
+    brokers.links.part(NAMES[:3], NAMES[3:])
+    brokers.until(lambda: brokers.out(set(NAMES[:3])))
+    for name in NAMES[:3]:
+        view = brokers.view(name)
+        assert view["isolated"] and view["at_most"] >= 7 and view["at_least"] <= 3
+    assert brokers.dead(since) == set(NAMES[:3])
+    brokers.links.heal()
+    brokers.agree()
+
+
+def test_a_bridge_keeps_two_groups_in_one_view_as_far_as_most_reach(brokers: Brokers) -> None:
+    since = brokers.mark()
+    brokers.links.part(["b0", "b1", "b2"], ["b4", "b5", "b6"])  # b3 reaches all
+    brokers.watch(3 * DEATH)
+    assert not brokers.dead(since)
+    assert brokers.alive("b0") == brokers.alive("b6") == set(NAMES)
+
+
+def test_a_link_that_flaps_ends_in_one_view(brokers: Brokers) -> None:
+    for _ in range(4):
+        brokers.links.part(["b0"], NAMES[1:])
+        brokers.watch(0.6)
+        brokers.links.heal()
+        brokers.watch(0.4)
+    brokers.agree()
+
+
+def test_under_loss_a_death_is_found_and_no_other_one_invented(brokers: Brokers) -> None:
+    since = brokers.mark()
+    brokers.links.rest = Rule(loss=0.3, copies=0.1, delay=0.05)
+    brokers.watch(3 * DEATH)
+    assert not brokers.dead(since)
+    brokers.end("b6")
+    brokers.until(lambda: brokers.out({"b6"}))
+    assert brokers.dead(since) == {"b6"}
+    brokers.start("b6")
+    brokers.agree()
+
+
+def test_a_rolling_restart_is_no_death(brokers: Brokers) -> None:
+    since = brokers.mark()
+    for name in NAMES:
+        brokers.end(name, by=signal.SIGTERM)
+        brokers.start(name)
+        brokers.until(lambda name=name: brokers.alive(name) == set(NAMES))
+    brokers.agree()
+    assert not brokers.dead(since)
+
+
+def test_five_of_seven_killed_at_once_are_not_judged_by_two_and_come_back(brokers: Brokers) -> None:
+    since = brokers.mark()
+    brokers.end(*NAMES[:5])
+    brokers.until(lambda: brokers.view("b5")["isolated"] and brokers.view("b6")["isolated"])
+    brokers.watch(3 * DEATH)
+    view = brokers.view("b5")
+    assert view["at_least"] <= 2 and view["at_most"] >= 7 and not view["sure"]
+    brokers.start(*NAMES[:5])
+    brokers.agree()
+    assert not brokers.dead(since)
+
+
+def test_an_old_process_that_wakes_under_a_name_that_was_taken_over_steps_aside(
+        brokers: Brokers, tmp_path: Path) -> None:
+    old, spare = brokers["b2"], Fleet.plan(brokers.fleet.folder, 1, 0, 0, with_peers=True).brokers[0]
+    brokers.stop("b2")
+    brokers.until(lambda: brokers.out({"b2"}))
+    spare.number, spare.name, spare.peers = 8, "b2", {key: value for key, value in KEYS.items()}
+    text = (brokers.fleet.folder / f"broker-{old.number}.hcl").read_text()
+    relayed = old.peers["advertise"]
+    for before, after in ((old.port, spare.port), (old.admin, spare.admin), (old.graph, spare.graph),
+                          (old.peer, spare.peer)):
+        text = text.replace(f'"127.0.0.1:{before}"', f'"127.0.0.1:{after}"')
+    text = text.replace(f'advertise = "{relayed}"', f'advertise = "127.0.0.1:{spare.peer}"')
+    (brokers.fleet.folder / "broker-8.hcl").write_text(text)
+    brokers.fleet.start_broker(spare)
+    try:
+        read_ready(spare.process, "the one that takes the name over")
+        brokers.until(lambda: "b2" in brokers.alive("b0"))
+        brokers.go_on("b2")
+        brokers.until(lambda: bool(brokers.view("b2")["stepped_aside"]))
+        assert any(row["event"] == "peers_stepped_aside" for row in brokers.changes("b2"))
+        assert not ask(("127.0.0.1", spare.admin), "/peers")["stepped_aside"]
+    finally:
+        assert spare.process is not None
+        spare.process.terminate()
+        spare.process.wait(20)
+    brokers.end("b2")
+    brokers.start("b2")
+    brokers.agree()
+
+
+def test_the_six_rules_hold_on_a_day_on_which_brokers_die_stall_and_lose_each_other(tmp_path: Path) -> None:
+    steps = (Step(1.0, "lose_peers", lasts=4.0, share=0.3), Step(1.5, "crash", 1, 1.5),
+             Step(2.0, "stall_broker", lasts=2.5), Step(6.0, "part_peers", 1, 4.0), Step(7.0, "crash", 1, 1.5),
+             Step(8.0, "kill_broker", lasts=1.0), Step(11.0, "drain", 1, 1.5))
+    counts = run_day(tmp_path, Script(15.0, 25.0, steps), 3, 8, 1200, 4, lambda text: None, cold_time=2.0, peers=KEYS)
+    assert [report.breaches for report in audit(Records.load(tmp_path))] == [[]] * 6
+    assert sum(counts.values()) > 100
+    changes = [orjson.loads(line) for line in (tmp_path / "broker-0.log").read_bytes().splitlines()
+               if b"peer_changed" in line]
+    assert {"alive", "suspect"} <= {row["new"] for row in changes}
