--- a/stepknot/lab/script.py
+++ b/stepknot/lab/script.py
@@ -9,8 +9,8 @@
 reset, cut, garbage, lost, refuse and huge (at boxes, with `share`, `factor`, `broker` for one broker only, `zone`),
 drain (boxes drain, restart and return cold), kill_broker, stall_broker, list_late (the list stands still), burst
 (`factor` times the traffic), impatient (clients repeat at once), hot_key, flood (`factor` connections a second from one
-address, each with a request and kept open). Where brokers know each other: part_peers (the first `boxes` brokers and the
-others hear nothing of each other), lose_peers (a `share` of what brokers tell each other is lost).
+address, each with a request and kept open). Where brokers know each other: part_peers (the first `boxes` brokers and
+the others hear nothing of each other), lose_peers (a `share` of what brokers tell each other is lost).
 """
 
 from __future__ import annotations
--- /dev/null
+++ b/tests/peers/test_decisions.py
@@ -0,0 +1,276 @@
+"""Membership's decisions fed by hand and by hypothesis: wrong datagrams, absurd records, names used twice."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from stepknot.lab.peers_model import Model
+from stepknot.peers import wire
+from stepknot.peers.members import Members
+from stepknot.peers.model import HERE, MOST_EPOCH, MOST_INCARNATION, PeerSettings, Record, State
+from stepknot.peers.rings import Rings
+from stepknot.peers.table import Table
+
+
+def record(name: str = "x", epoch: int = 5, birth: int = 1, incarnation: int = 0, state: State = State.ALIVE,
+           port: int = 77) -> Record:
+    return Record(name, "127.0.0.1", port, epoch, birth, incarnation, state)
+
+
+def member(**given: Any) -> Members:
+    found = Members(PeerSettings(**given), record("me", epoch=10, port=1), seed=1)
+    found.tick(0.0)
+    found.take()
+    return found
+
+
+def datagram(sender: Record, message: wire.Message, fleet: str = "stepknot") -> bytes:
+    return wire.encode(fleet, sender, message)
+
+
+def beat(sender: Record) -> bytes:
+    return datagram(sender, wire.Beat(-1, 0))
+
+
+def test_what_is_absurd_is_counted_and_changes_nothing() -> None:
+    found, chance = member(), random.Random(1)
+    whole = beat(record())
+    bad = {
+        "too long": [bytes(65_507), whole + bytes(1200)],
+        "malformed": [b"", b"\xc1", whole[:-1], whole[:5], chance.randbytes(100), b"\x91" * 1000,
+                      msgspec.msgpack.encode([1, "stepknot", ["x", "h", 0, 1, 1, 0, 1], [1, 0, 0]]),
+                      msgspec.msgpack.encode([1, "stepknot", ["x", "h", 1, MOST_EPOCH, 1, 0, 1], [1, 0, 0]]),
+                      msgspec.msgpack.encode([1, "stepknot", ["x", "h", 1, 1, 1, MOST_INCARNATION, 1], [1, 0, 0]]),
+                      msgspec.msgpack.encode([1, "stepknot", ["x" * 65, "h", 1, 1, 1, 0, 1], [1, 0, 0]]),
+                      msgspec.msgpack.encode([1, "stepknot", ["x", "h", 1, 1, 1, 0, 9], [1, 0, 0]])],
+        "another version": [whole.replace(b"\x94\x01", b"\x94\x02", 1)],
+        "another fleet": [datagram(record(), wire.Beat(-1, 0), fleet="other")],
+    }
+    for reason, datagrams in bad.items():
+        for data in datagrams:
+            found.receive(0.1, data)
+        assert found.counters[f"dropped: {reason}"] == len(datagrams), reason
+    assert list(found.table.records) == ["me"] and not found.take()[0]
+    found.receive(0.1, whole)
+    assert set(found.table.records) == {"me", "x"}
+
+
+def test_a_datagram_cut_or_flipped_anywhere_hurts_nothing() -> None:
+    whole = datagram(record(), wire.News([record("y"), record("z", state=State.SUSPECT)]))
+    found = member()
+    for at in range(len(whole)):
+        found.receive(0.1, whole[:at])
+        found.receive(0.1, whole[:at] + bytes([whole[at] ^ 0x55]) + whole[at + 1:])
+    assert len(found.table.records) < 500
+
+
+def test_ten_thousand_invented_members_take_no_more_room_than_the_bound_and_old_ones_stay() -> None:
+    found = member(most=100)
+    found.receive(0.1, beat(record("real")))
+    for number in range(10_000):
+        found.receive(0.1, datagram(record("real"), wire.News([record(f"invented{number}")])))
+    assert len(found.table.records) == 100 and found.table.refused > 9_000
+    assert {"me", "real"} <= set(found.table.records)
+    assert sum(len(data) for _, data in found.take()[0]) <= 1.5 * found.settings.burst
+
+
+def test_every_datagram_fits_also_with_the_longest_names() -> None:
+    found = member()
+    for number in range(60):
+        name = f"{number:03}" + "n" * 61
+        found.receive(0.1, datagram(Record(name, "1" * 45, 65535, MOST_EPOCH - 1, 2**32 - 1, MOST_INCARNATION - 1,
+                                           State.ALIVE), wire.Join()))
+    for step in range(1, 200):
+        found.tick(step / 10)
+    sent = found.take()[0]
+    assert sent and max(len(data) for _, data in sent) <= wire.MOST_BYTES
+    assert any(isinstance(wire.decode(data, "stepknot").message, wire.News) for _, data in sent)
+
+
+def test_an_incarnation_near_its_end_is_followed_by_a_new_epoch() -> None:
+    found = member()
+    found.receive(0.1, datagram(record(), wire.News([
+        msgspec.structs.replace(found.own, incarnation=MOST_INCARNATION - 1, state=State.SUSPECT)])))
+    assert found.own.epoch == 11 and found.own.incarnation == 0 and found.own.state is State.ALIVE
+
+
+def test_a_name_whose_epochs_are_spent_is_given_up_loudly() -> None:
+    found = member()
+    found.receive(0.1, datagram(record(), wire.News([record("me", epoch=MOST_EPOCH - 1, state=State.DEAD)])))
+    assert found.stepped_aside and "no epoch" in found.isolated_why
+
+
+def test_its_own_address_among_the_seeds_is_not_asked() -> None:
+    found = Members(PeerSettings(seeds=(("127.0.0.1", 1),)), record("me", port=1), seed=1)
+    found.tick(0.0)
+    assert found.joined and not found.take()[0]
+
+
+def test_seeds_that_do_not_answer_are_asked_again_and_it_counts_as_configured_meanwhile() -> None:
+    found = Members(PeerSettings(seeds=(("127.0.0.1", 9),), configured=7), record("me", port=1), seed=1)
+    asked = 0
+    for step in range(600):
+        found.tick(step / 10)
+        asked += len(found.take()[0])
+    assert 20 <= asked <= 100 and not found.joined and found.isolated
+    count = found.count(59.9)
+    assert (count.at_least, count.at_most, count.sure) == (1, 7, False)
+
+
+def test_of_two_living_processes_under_one_name_the_older_steps_aside_and_the_newer_stays() -> None:
+    older, newer = member(), member()
+    newer.receive(0.1, beat(record("me", epoch=9, port=2)))
+    assert not newer.stepped_aside
+    older.receive(0.1, beat(record("me", epoch=11, port=2)))
+    assert older.stepped_aside and "another process" in older.isolated_why
+
+
+def test_word_of_ones_own_death_is_answered_by_a_greater_incarnation() -> None:
+    found = member()
+    found.receive(0.1, beat(record()))
+    found.receive(0.2, datagram(record(), wire.Beat(-1, 0, held=0)))
+    assert found.own.incarnation == 1 and found.own.state is State.ALIVE
+
+
+def test_what_was_learnt_is_not_unlearnt() -> None:
+    table = Table(100, 600.0)
+    ranks = [record(incarnation=incarnation, state=state) for incarnation in (0, 1)
+             for state in (State.ALIVE, State.SUSPECT, State.DEAD)]
+    orders = [random.Random(seed).sample(ranks, len(ranks)) for seed in range(20)]
+    for order in orders:
+        table = Table(100, 600.0)
+        table.put(0.0, ranks[0], "")
+        for each in order:
+            table.put(0.0, each, "")
+        assert table.records["x"] == ranks[-1] and table.digest == 0
+
+
+def test_a_table_tells_just_what_another_lacks() -> None:
+    one, other = Table(2000, 600.0), Table(2000, 600.0)
+    for number in range(700):
+        each = record(f"m{number}")
+        one.put(0.0, each, "")
+        if number % 50:
+            other.put(0.0, each, "")
+    start, lacking, rounds = 0, set(), 0
+    while rounds == 0 or start:
+        last, prints = other.section(start)
+        assert len(prints) <= 4 * wire.PRINTS
+        lacking |= {each.name for each in one.missing(start, last, prints)}
+        start, rounds = (last + 1) % wire.BUCKETS, rounds + 1
+    assert lacking == {f"m{number}" for number in range(0, 700, 50)} and rounds <= 4
+
+
+@pytest.mark.parametrize("size", [10, 50, 200])
+def test_watching_is_mutual_and_everybody_has_watchers(size: int) -> None:
+    rings = Rings(4)
+    for number in range(size):
+        rings.add(f"m{number}")
+    chance = random.Random(size)
+    lost = {f"m{number}" for number in range(size) if chance.random() < 0.5}
+    near = {f"m{number}": rings.around(f"m{number}", lambda name: name in lost) for number in range(size)}
+    for name, (nearest, _) in near.items():
+        assert all(name in near[other][0] for other in nearest if name not in lost)
+    for name in lost:  # whoever is lost is seen to be by somebody who is not
+        assert any(name in between for other, (_, between) in near.items() if other not in lost)
+
+
+class Fleets(RuleBasedStateMachine):
+    """Any order of cuts, stalls, deaths, restarts, leaves and waits; at each step what must never be; at the end, once
+    all faults are over, one view."""
+
+    @initialize(seed=st.integers(0, 2**32), size=st.integers(3, 9))
+    def begin(self, seed: int, size: int) -> None:
+        self.model = Model(size, seed, PeerSettings(tombstone=3000.0))
+        self.size = size
+        self.model.run(2.0)
+        self.excused: dict[str, float] = {}  # who was cut off, stalled or down, until when that may be felt
+        self.cuts: set[tuple[str, str]] = set()
+        self.model.network.cut = lambda source, target: (source, target) in self.cuts
+
+    def name(self, number: int) -> str:
+        return f"b{number % self.size}"
+
+    @rule(one=st.integers(0, 8), other=st.integers(0, 8))
+    def cut(self, one: int, other: int) -> None:
+        self.cuts.add((self.name(one), self.name(other)))
+
+    @rule(loss=st.sampled_from([0.0, 0.1, 0.3]), late=st.sampled_from([0.0, 0.2]), copies=st.sampled_from([0.0, 0.3]))
+    def weather(self, loss: float, late: float, copies: float) -> None:
+        network = self.model.network
+        network.loss, network.late, network.copies = loss, late, copies
+
+    @rule(number=st.integers(0, 8), seconds=st.floats(0.1, 12.0))
+    def pause(self, number: int, seconds: float) -> None:
+        process = self.model.processes[self.name(number)]
+        if process.running and not process.left:
+            self.model.pause(process.name, seconds)
+            self.excused[process.name] = self.model.now + seconds + 30.0
+
+    @rule(number=st.integers(0, 8), back=st.booleans(), epoch=st.sampled_from([0, None]))
+    def restart(self, number: int, back: bool, epoch: int | None) -> None:
+        name = self.name(number)
+        if self.model.processes[name].running:
+            self.model.kill(name)
+        if back:
+            self.model.start(name, epoch=epoch)
+        self.excused[name] = self.model.now + 30.0
+
+    @rule(seconds=st.floats(0.1, 15.0))
+    def wait(self, seconds: float) -> None:
+        self.model.run(self.model.now + seconds)
+
+    @rule()
+    def heal(self) -> None:
+        self.cuts.clear()
+
+    @invariant()
+    def what_must_never_be(self) -> None:
+        if not hasattr(self, "model"):
+            return
+        now = self.model.now
+        truth = len(self.model.up())
+        for each in self.model.up():
+            count = each.member.count(now)
+            assert 1 <= count.at_least <= count.at_most
+            if now > 2.0 and now >= each.paused_until:
+                assert count.at_most >= truth, (each.name, count, truth)
+            table = each.member.table  # type: ignore[attr-defined]
+            assert sum(table.counts) == len(table.records) <= table.most
+            assert table.here == {name: one for name, one in table.records.items() if one.state in HERE}
+        if not self.cuts:
+            return
+        clean = [name for name in self.model.processes if not any(name in pair for pair in self.cuts)
+                 and self.excused.get(name, 0.0) < now]
+        for when, at, change in self.model.log:
+            if change.after is State.DEAD and change.name in clean and when > now - 10.0 and at in clean and (
+                    2 * len(clean) > self.size):
+                raise AssertionError((when, at, change))
+
+    def teardown(self) -> None:
+        if not hasattr(self, "model"):
+            return
+        self.cuts.clear()
+        self.model.network.loss = self.model.network.late = self.model.network.copies = 0.0
+        for process in list(self.model.processes.values()):
+            if not process.running:
+                self.model.start(process.name)
+        self.model.run(self.model.now + 15.0)  # the longest pause
+        end = self.model.now + 60.0
+        for _ in self.model.steps(end, step=1.0):
+            if self.model.settled() and len({each.member.table.digest  # type: ignore[attr-defined]
+                                             for each in self.model.up()}) == 1:
+                return
+        raise AssertionError({name: view for name, view in self.model.views().items()})
+
+
+TestFleets = Fleets.TestCase
+TestFleets.settings = settings(max_examples=40, stateful_step_count=25, deadline=None, derandomize=True,
+                               suppress_health_check=list(HealthCheck))
