--- a/stepknot/peers/members.py
+++ b/stepknot/peers/members.py
@@ -10,14 +10,15 @@
 2. *Dead*: the same with `dead_after`, and only by a member that is not isolated itself and did not stand still lately.
 3. *Isolated*, of oneself: most neighbours are not heard, or say that they do not hear me, or half of all members are
    suspect or died lately. An isolated member declares nobody dead: from inside, a fleet that died looks the same as a
-   cut cable. Where many are lost at once, but not half, a death takes twice as long, so that word of all may come in.
+   cut cable. Where many are lost at once, but not half, a death waits until word of all came in and views agree.
 4. *Standing still*: whoever finds that its own clock jumped moves all its waits by the gap, and says nothing of others'
    death for a while: their signs may lie unread in its own buffers.
 5. *Names*: of two processes under one name the one with the greater (epoch, birth) stays, the other steps aside. A
    process that joins takes an epoch above all that it is told of for its name.
 6. *Counts*: `at_most` counts all that did not leave by their own word, the dead too, as a cut-off member may live on.
-   A member that was isolated for half of the time for which the dead are remembered answers `UNBOUNDED`: by the time
-   others stop counting it, it takes no share of anything.
+   A new member, which was not told of the dead, counts the configured number at least, for as long as they are
+   remembered. A member that was isolated for half of that time answers `UNBOUNDED`: by the time others stop counting
+   it, it takes no share of anything.
 
 Bounds: `docs/peers.md` has them in one table.
 """
@@ -54,6 +55,8 @@
 MANY = 0.25  # of the members
 LATELY = 4.0  # times as long as a death takes: members that died since then count as lost together
 KNOCK_MOST = 2.0  # seconds between two tries of a joining member at the most
+PINGS = 4  # for others in a period
+SYNC = 4  # periods between two questions about the table: one takes as much as half a second's rate
 ASKERS = 32  # that wait for one silent member's answer to a ping
 ANSWERS, BEATS = 0.25, 1.0  # of the burst: what answers, and beats in their time, may take beyond what is saved
 SPREAD_PAUSE = 0.05  # seconds between two rounds of news: what comes in a storm goes on together
@@ -104,10 +107,12 @@
         self.out: list[tuple[Address, bytes]] = []
         self.news: dict[str, int] = {}  # names whose records go out, and rounds left
         self.pinged: dict[str, float] = {}  # when, last
+        self.pings_from, self.pings_sent = -math.inf, 0
         self.pings: dict[str, dict[str, float]] = {}  # members pinged for others: who asked, and until when it matters
         self.counters: Counter[str] = Counter()
         self.joined = self.rewire_due = self.stepped_aside = False
         self.ticked = self.woken_until = -math.inf
+        self.started = math.inf  # the first tick
         self.stood_still = 0.0  # seconds, the last time
         self.isolated_since = math.inf
         self.isolated_why = ""
@@ -196,6 +201,7 @@
     # --- own time
 
     def note_gap(self, now: float) -> None:
+        self.started = min(self.started, now)
         gap, self.ticked = now - self.ticked, now
         if gap > STILL * self.settings.period and gap < math.inf:
             self.stood_still = gap
@@ -364,12 +370,16 @@
                 self.ping_for(now, sender.name, sign.name)
 
     def ping_for(self, now: float, asker: str, name: str) -> None:
-        """The answer goes on to the asker as soon as it is here. One ping a period, whoever asks."""
+        """The answer goes on to the asker as soon as it is here. One ping in two periods, whoever asks."""
         askers = self.pings.setdefault(name, {})
         if asker in askers or len(askers) < ASKERS:
             askers[asker] = now + self.settings.period
-        if now >= self.pinged.get(name, -math.inf) + 2 * self.settings.period:
+        if now >= self.pings_from + self.settings.period:
+            self.pings_from, self.pings_sent = now, 0
+        due = now >= self.pinged.get(name, -math.inf) + 2 * self.settings.period
+        if due and self.pings_sent < PINGS:  # where many are silent, word of that goes first
             self.pinged[name] = now
+            self.pings_sent += 1
             self.beat(now, name, reply=True, borrow=0.0)
 
     def tell_of_silence(self, now: float) -> None:
@@ -454,8 +464,8 @@
                 self.condemn(now, record, State.SUSPECT, silent)
         elif now - self.table.why[name][0] < settings.suspect_after:
             return  # it must hear of the suspicion, and have time to prove itself, however long it was silent here
-        elif silent > settings.dead_after * (2 if self.many_lost(now) else 1) and self.awake(now) and (
-                not self.isolated and self.confirmed(now, watched, others)):
+        elif silent > settings.dead_after and self.awake(now) and self.confirmed(now, watched, others) and (
+                not self.isolated and self.agrees(now, silent)):
             self.condemn(now, record, State.DEAD, silent)
             self.consider_isolation(now)  # the one that went may be the one too many
 
@@ -533,9 +543,14 @@
             self.table.why[name][0] > since for name in self.table.gone
             if self.table.records[name].state is State.DEAD)
 
-    def many_lost(self, now: float) -> bool:
-        """The more are lost at once the more it looks like a cut: word of all of them must have time to come in."""
-        return self.lost(now) > max(1.0, MANY * len(self.table.here))
+    def agrees(self, now: float, silent: float) -> bool:
+        """The more are lost at once the more it looks like a cut. Word of all of them must have come in before anybody
+        is held dead: it takes twice as long, and until most neighbours' views are the same as this one."""
+        if self.lost(now) <= max(1.0, MANY * len(self.table.here)):
+            return True
+        heard = [each for each in self.watched.values() if now - each.heard <= self.settings.suspect_after]
+        alike = sum(each.differs_since == math.inf for each in heard)
+        return silent > 2 * self.settings.dead_after and 2 * alike > len(heard)
 
     @property
     def isolated(self) -> bool:
@@ -560,7 +575,7 @@
             return
         differ = [name for name, each in self.watched.items() if now - each.differs_since > self.settings.period]
         if differ:
-            self.sync_at = now + 2 * self.settings.period
+            self.sync_at = now + SYNC * self.settings.period
             address = self.table.records[self.random.choice(differ)].address
             start = self.sync_from
             last, prints = self.table.section(start)
@@ -594,15 +609,16 @@
     def count(self, now: float) -> Counts:
         counts, settings = self.table.counts, self.settings
         apart = now - self.isolated_since if self.isolated else 0.0
-        sure = self.joined and not self.isolated and not self.stepped_aside and self.awake(now) and (
+        new = now < self.started + settings.dead_after  # what it was told of others it had no time to see for itself
+        sure = self.joined and not (new or self.isolated or self.stepped_aside) and self.awake(now) and (
             not self.neighbours or now - self.agreed <= settings.dead_after)
-        if self.isolated or not self.awake(now):
+        if new or self.isolated or not self.awake(now):
             least = 1 + sum(now - each.heard <= settings.suspect_after for each in self.watched.values())
         else:
             least = counts[State.ALIVE]
         most = sum(counts) - counts[State.LEFT]
         if apart > settings.tombstone / 2:
             most = UNBOUNDED
-        elif not sure:
-            most = max(most, settings.configured)
+        elif not sure or now < self.started + settings.tombstone:
+            most = max(most, settings.configured)  # who is new was not told of those that died before, and may live on
         return Counts(min(least, most), most, sure)
--- a/tests/peers/test_model.py
+++ b/tests/peers/test_model.py
@@ -75,7 +75,7 @@
 
 
 def test_a_leave_is_told_and_is_no_death() -> None:
-    model = ready()
+    model = ready(settings=PeerSettings(tombstone=30.0))
     at = model.now
     model.leave("b3")
     model.run(at + 3.0)
@@ -266,6 +266,7 @@
 
 def test_a_member_cut_off_for_long_takes_no_share_before_others_stop_counting_it() -> None:
     model = ready(settings=PeerSettings(tombstone=60.0))
+    model.run(70.0)
     part(model, {"b1"})
     at = model.now
     counted_again = None
--- /dev/null
+++ b/tests/peers/test_search.py
@@ -0,0 +1,28 @@
+"""A few dozen random days of membership; one that went wrong is kept here by its seed."""
+
+from __future__ import annotations
+
+import pytest
+
+from stepknot.lab.peers_search import Day, play
+
+# Newcomers counted fewer than ran: they had not been told of the dead, who lived on cut off.
+FOUND = (9, 20, 25, 26, 37)
+
+
+@pytest.mark.parametrize("seed", [*FOUND, *range(101, 121)])
+def test_a_random_day_holds(seed: int) -> None:
+    assert play(seed).wrong == ""
+
+
+def test_a_seed_replays_the_same_way() -> None:
+    first, again = play(37), play(37)
+    assert first == again and first.trace != play(38).trace
+
+
+def test_what_does_not_hold_is_found_and_told() -> None:
+    """A check that cannot fail is none."""
+    day = Day(37)
+    day.model.at(30.0, lambda: setattr(day.model.processes["b0"], "sent", 10**9))
+    wrong = day.play().wrong
+    assert wrong.startswith("30.") and "b0 sent" in wrong
