--- a/bench/shares.py
+++ b/bench/shares.py
@@ -13,7 +13,7 @@
 
 HEART = ("stepknot/logic.py", "stepknot/records.py", "stepknot/interface.py", "stepknot/benchlink.py",
          "stepknot/broker/", "stepknot/boxes/", "stepknot/discovery/", "stepknot/search/", "stepknot/zones/",
-         "stepknot/admission/", "stepknot/net/loop.py", "stepknot/platform/nodes.py",
+         "stepknot/admission/", "stepknot/peers/", "stepknot/net/loop.py", "stepknot/platform/nodes.py",
          "stepknot/platform/discovery.py")
 
 
--- a/stepknot/broker/peering.py
+++ b/stepknot/broker/peering.py
@@ -42,15 +42,20 @@
 
     def tick(self) -> None:
         """The clock is asked anew: a turn that was stopped half way must not pass for a moment."""
-        now = self.loop.clock()
-        self.members.tick(now)
-        self.carry(now)
+        self.guarded(self.members.tick)
         self.timer = self.loop.call_later(self.settings.step, self.tick)
 
     def on_datagram(self, source: tuple[Any, ...], data: bytes) -> None:
+        self.guarded(lambda now: self.members.receive(now, data))
+
+    def guarded(self, what: Callable[[float], None]) -> None:
+        """A defect of membership's own is told loudly and costs no query."""
         now = self.loop.clock()
-        self.members.receive(now, data)
-        self.carry(now)
+        try:
+            what(now)
+            self.carry(now)
+        except Exception as error:  # noqa: BLE001
+            self.loop.on_error("peers", error)
 
     def carry(self, now: float) -> None:
         """What the decisions want sent and told."""
@@ -75,9 +80,7 @@
             self.counted = count
 
     def leave(self) -> None:
-        now = self.loop.clock()
-        self.members.leave(now)
-        self.carry(now)
+        self.guarded(self.members.leave)
 
     def end(self) -> Coroutine:
         """Tell the leave a few times more, then close."""
--- a/stepknot/peers/members.py
+++ b/stepknot/peers/members.py
@@ -28,12 +28,13 @@
 import math
 import random
 from collections import Counter
-from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
 
 from stepknot.peers import wire
+from stepknot.peers.errands import Errands
+from stepknot.peers.gossip import News
 from stepknot.peers.model import (
     GONE,
     MOST_EPOCH,
@@ -45,8 +46,10 @@
     Record,
     State,
 )
+from stepknot.peers.rate import Rate
 from stepknot.peers.rings import Rings
 from stepknot.peers.table import Table
+from stepknot.peers.watched import Watched
 
 Address = tuple[str, int]
 BULK = -0.25  # so much must be left by what can wait: repairs must not starve news
@@ -55,9 +58,7 @@
 MANY = 0.25  # of the members
 LATELY = 4.0  # times as long as a death takes: members that died since then count as lost together
 KNOCK_MOST = 2.0  # seconds between two tries of a joining member at the most
-PINGS = 4  # for others in a period
 SYNC = 4  # periods between two questions about the table: one takes as much as half a second's rate
-ASKERS = 32  # that wait for one silent member's answer to a ping
 ANSWERS, BEATS = 0.25, 1.0  # of the burst: what answers, and beats in their time, may take beyond what is saved
 SPREAD_PAUSE = 0.05  # seconds between two rounds of news: what comes in a storm goes on together
 FAREWELLS = 3  # rounds in which a leave is told
@@ -66,35 +67,6 @@
 STILL = 2.0  # periods without a tick after which a member stood still
 
 
-@dataclass(slots=True)
-class Watched:
-    """What is known of a member that is watched here. Times are this member's clock's; -inf: never."""
-
-    since: float  # when watching began: silence is counted from then
-    heard: float = -math.inf  # something came from it, here
-    sign: float = -math.inf  # the youngest sign of life, here or told of
-    sign_by: str = ""
-    hears_me: float = -math.inf  # when it last heard something from here, by its own word
-    beat_at: float = 0.0
-    ask_at: float = 0.0
-    teller: str = ""  # who told of a sign when nothing was heard here: a way round a cut, asked first next time
-    differs_since: float = math.inf  # its view has another digest
-    told: dict[str, float] = field(default_factory=dict)  # who had nothing younger, and when that was said
-
-    def note(self, at: float, by: str) -> None:
-        if at > self.sign:
-            self.sign, self.sign_by = at, by
-
-    def silent(self, now: float) -> float:
-        return now - max(self.sign, self.since)
-
-    def shift(self, gap: float) -> None:
-        """As if this member's time had not run on."""
-        self.since, self.heard, self.sign, self.hears_me = (
-            each + gap for each in (self.since, self.heard, self.sign, self.hears_me))
-        self.told.clear()
-
-
 class Members:
     def __init__(self, settings: PeerSettings, own: Record, seed: int) -> None:
         self.settings = settings
@@ -105,10 +77,9 @@
         self.watched: dict[str, Watched] = {}
         self.neighbours: dict[str, None] = {}  # those watched that are not suspect
         self.out: list[tuple[Address, bytes]] = []
-        self.news: dict[str, int] = {}  # names whose records go out, and rounds left
-        self.pinged: dict[str, float] = {}  # when, last
-        self.pings_from, self.pings_sent = -math.inf, 0
-        self.pings: dict[str, dict[str, float]] = {}  # members pinged for others: who asked, and until when it matters
+        self.news = News(settings.rounds, wire.RECORDS)
+        self.errands = Errands(settings.period)
+        self.rate = Rate(settings.rate, settings.burst)
         self.counters: Counter[str] = Counter()
         self.joined = self.rewire_due = self.stepped_aside = False
         self.ticked = self.woken_until = -math.inf
@@ -118,10 +89,8 @@
         self.isolated_why = ""
         self.agreed = -math.inf  # when a neighbour's view last had the digest of this one
         self.knock_at, self.knock_pause = -math.inf, settings.period / 2
-        self.heard_news, self.heard_news_at = 0.0, 0.0
         self.sync_from = 0  # the bucket from which on tables are compared next
         self.call_at = self.ask_at = self.sync_at = self.spread_at = -math.inf
-        self.saved, self.saved_at = settings.burst, -math.inf
         self.seeds = tuple(each for each in settings.seeds if each != own.address)
         self.put(-math.inf, self.own, "this process")
 
@@ -182,14 +151,14 @@
                 return  # no room
         self.hear(now, sender)
         self.handlers[type(message)](self, now, sender, message)
-        if self.news and now >= self.spread_at + SPREAD_PAUSE:
+        if self.news.left and now >= self.spread_at + SPREAD_PAUSE:
             self.spread(now)
 
     def leave(self, now: float) -> None:
         """Tell all: it is no death. `tick` is to be called a few times more."""
         if not self.stepped_aside and self.own.state is not State.LEFT:
             self.become(now, state=State.LEFT, why="told to stop")
-            self.news = {self.own.name: FAREWELLS}
+            self.news.only(self.own.name, FAREWELLS)
             self.spread(now)
 
     def take(self) -> tuple[list[tuple[Address, bytes]], list[Change]]:
@@ -262,11 +231,11 @@
         if not self.table.put(now, record, why):
             return False
         if record.state is not State.JOINING:
-            self.news[record.name] = self.settings.rounds
-            self.heard_news, self.heard_news_at = self.news_rate(now) + 1, now
+            self.news.add(now, record.name)
         if record.state in GONE:
             self.rings.drop(record.name)
             self.watched.pop(record.name, None)
+            self.errands.forget(record.name)
             self.rewire_due = True
         else:
             self.rings.add(record.name)
@@ -283,7 +252,7 @@
         if watched is not None:
             watched.heard = now
             watched.note(now, "heard here")
-        for asker in self.pings.pop(sender.name, ()):
+        for asker in self.errands.answered(sender.name):
             self.tell(now, asker, [wire.Sign(sender.name, *sender.process, 0)])
 
     def rewire(self, now: float) -> None:
@@ -302,14 +271,10 @@
 
     def emit(self, now: float, address: Address, message: wire.Message, borrow: float = 0.0) -> bool:
         """Send, if the rate allows it or so much of the burst may be borrowed."""
-        settings = self.settings
-        self.saved = min(settings.burst, self.saved + settings.rate * max(now - self.saved_at, 0.0))
-        self.saved_at = now
-        data = wire.encode(settings.fleet, self.own, message)
-        if self.saved - len(data) < -borrow * settings.burst or len(data) > wire.MOST_BYTES:
+        data = wire.encode(self.settings.fleet, self.own, message)
+        if len(data) > wire.MOST_BYTES or not self.rate.grant(now, len(data), borrow):
             self.counters["kept back"] += 1
             return False
-        self.saved -= len(data)
         self.counters["bytes"] += len(data)
         self.counters["datagrams"] += 1
         self.out.append((address, data))
@@ -366,34 +331,14 @@
         fresh = [sign for sign in signs if 0 <= sign.heard <= self.settings.period * 1000]
         self.tell(now, sender.name, fresh)
         for sign in signs:
-            if sign not in fresh:
-                self.ping_for(now, sender.name, sign.name)
-
-    def ping_for(self, now: float, asker: str, name: str) -> None:
-        """The answer goes on to the asker as soon as it is here. One ping in two periods, whoever asks."""
-        askers = self.pings.setdefault(name, {})
-        if asker in askers or len(askers) < ASKERS:
-            askers[asker] = now + self.settings.period
-        if now >= self.pings_from + self.settings.period:
-            self.pings_from, self.pings_sent = now, 0
-        due = now >= self.pinged.get(name, -math.inf) + 2 * self.settings.period
-        if due and self.pings_sent < PINGS:  # where many are silent, word of that goes first
-            self.pinged[name] = now
-            self.pings_sent += 1
-            self.beat(now, name, reply=True, borrow=0.0)
+            if sign not in fresh and self.errands.take(now, sender.name, sign.name):
+                self.beat(now, sign.name, reply=True, borrow=0.0)
 
     def tell_of_silence(self, now: float) -> None:
         """Those that were pinged for others and did not answer in time."""
-        told: dict[str, list[wire.Sign]] = {}
-        for name, askers in list(self.pings.items()):
-            for asker in [asker for asker, until in askers.items() if until <= now]:
-                del askers[asker]
-                if name in self.table.records:
-                    told.setdefault(asker, []).append(self.sign_of(now, name))
-            if not askers:
-                del self.pings[name]
-        for asker, signs in told.items():
-            self.tell(now, asker, signs[:wire.ASKED])
+        for asker, names in self.errands.expired(now).items():
+            known = [name for name in names if name in self.table.records]
+            self.tell(now, asker, [self.sign_of(now, name) for name in known[:wire.ASKED]])
 
     def on_tell(self, now: float, sender: Record, told: wire.Tell) -> None:
         for sign in told.signs:
@@ -506,10 +451,8 @@
 
     def confirmed(self, now: float, watched: Watched, others: list[str]) -> bool:
         """Whether enough others had nothing younger; where all others are silent too, there is nobody to ask."""
-        told = watched.told
-        for each in [each for each, at in told.items() if at < now - self.settings.suspect_after]:
-            del told[each]
-        return len(told) >= min(self.settings.proofs, len(others))
+        watched.forget_told(now - self.settings.suspect_after)
+        return len(watched.told) >= min(self.settings.proofs, len(others))
 
     def consider_isolation(self, now: float) -> None:
         why = self.find_isolation(now)
@@ -582,27 +525,19 @@
             self.sync_from = (last + 1) % wire.BUCKETS
             self.emit(now, address, wire.Sync(start, last, prints))
 
-    def news_rate(self, now: float) -> float:
-        """News of about the last second."""
-        return self.heard_news * math.exp2(self.heard_news_at - now) if self.heard_news else 0.0
-
     def spread(self, now: float) -> None:
-        """One round: the news that went out least, to some members at random; to one in a storm, as what comes in
-        through many hands would be sent many times for nothing: comparing finds what is missed."""
-        if not self.news:
+        """One round of news, to some members at random."""
+        if not self.news.left:
             return
         self.spread_at = now
         others = [each for each in self.table.here.values() if each.name != self.own.name]
-        names = sorted(self.news, key=lambda name: -self.news[name])[:wire.RECORDS]
+        names = self.news.pick(wire.RECORDS)
         records = [self.table.records[name] for name in names if name in self.table.records]
-        fanout = self.settings.fanout if self.news_rate(now) <= wire.RECORDS else 1
+        fanout = self.news.fanout(now, self.settings.fanout)
         sent = [self.emit(now, member.address, wire.News(records))
                 for member in self.random.sample(others, min(len(others), fanout))]
         if any(sent) or not sent:  # what the rate held back of a round is not made up for
-            for name in names:
-                self.news[name] -= 1
-                if self.news[name] <= 0:
-                    del self.news[name]
+            self.news.went(names)
 
     # --- what others are told of it
 
--- a/tests/peers/test_decisions.py
+++ b/tests/peers/test_decisions.py
@@ -71,6 +71,33 @@
     assert len(found.table.records) < 500
 
 
+def test_whatever_is_well_formed_but_makes_no_sense_is_borne() -> None:
+    """Any message from anybody in any state, the own name among them: nothing is raised, and the table fits itself."""
+    for seed in range(30):
+        chance, found, now = random.Random(seed), member(most=12, tombstone=60.0), 0.0
+
+        def any_record(chance: random.Random = chance) -> Record:
+            return record(chance.choice(["me", *"abcdefghijklmnop"]), chance.randrange(12), chance.randrange(3),
+                          chance.randrange(3), State(chance.randrange(5)), chance.randrange(1, 9))
+
+        for _ in range(400):
+            now += chance.choice([0.0, 0.05, 0.3, 4.0])
+            name = any_record().name
+            message = chance.choice([
+                wire.Beat(chance.randrange(-1, 5000), chance.randrange(2**62), chance.randrange(-1, 3),
+                          chance.random() < 0.5, chance.random() < 0.5),
+                wire.Ask([any_record().name for _ in range(chance.randrange(5))]), wire.Join(),
+                wire.Tell([wire.Sign(name, chance.randrange(12), chance.randrange(3), chance.randrange(-1, 9000))]),
+                wire.News([any_record() for _ in range(chance.randrange(9))]),
+                wire.Sync(chance.randrange(64), chance.randrange(64), chance.randbytes(chance.randrange(60)))])
+            found.receive(now, datagram(any_record(), message))
+            found.tick(now)
+            count = found.count(now)
+            assert 1 <= count.at_least <= count.at_most and len(found.table.records) <= 12
+            assert sum(found.table.counts) == len(found.table.records) == len(found.table.prints)
+            assert all(len(data) <= wire.MOST_BYTES for _, data in found.take()[0])
+
+
 def test_ten_thousand_invented_members_take_no_more_room_than_the_bound_and_old_ones_stay() -> None:
     found = member(most=100)
     found.receive(0.1, beat(record("real")))
