--- a/stepknot/interface.py
+++ b/stepknot/interface.py
@@ -186,8 +186,8 @@
 
 @dataclass(slots=True)
 class InstancesCounted:
-    """No more instances than this may be there now, instead of as many as the settings say. Without this event
-    those count, so nobody need send it."""
+    """No more instances than this may be there now, instead of as many as the settings say. Without this
+    event those count, so nobody need send it."""
 
     instances: int
 
--- a/stepknot/logic.py
+++ b/stepknot/logic.py
@@ -17,8 +17,8 @@
 
 from stepknot.interface import (
     Action, Answer, AttemptEnded, Cancel, Close, Effect, Event, Fail, InstancesCounted, ListKind,
-    ListReceived, Narrow, Outcome, PartArrived, Probe, ProbeEnded, QueryArrived, QueryGone, Refuse, Send, ServerEntry,
-    ServerState, SetTimer, Settings, TimerDue, Watch,
+    ListReceived, Narrow, Outcome, PartArrived, Probe, ProbeEnded, QueryArrived, QueryGone, Refuse, Send,
+    ServerEntry, ServerState, SetTimer, Settings, TimerDue, Watch,
 )
 from stepknot.records import Attempt, Call, Capsule, Part, Query
 
