--- a/tests/peers/test_model.py
+++ b/tests/peers/test_model.py
@@ -74,6 +74,17 @@
     assert counts(model, "b2") == Counts(size - 1, size, True)  # it may live on, cut off: it counts still
 
 
+def test_the_dead_are_counted_for_as_long_as_they_are_remembered() -> None:
+    """They may live on, cut off, and take their share."""
+    model = ready(settings=PeerSettings(tombstone=30.0))
+    model.run(35.0)  # from here on the configured number does not count any more
+    model.kill("b1")
+    model.run(model.now + 10.0)
+    assert counts(model, "b2") == Counts(SIZE - 1, SIZE, True)
+    model.run(model.now + 35.0)
+    assert counts(model, "b2") == Counts(SIZE - 1, SIZE - 1, True)
+
+
 def test_a_leave_is_told_and_is_no_death() -> None:
     model = ready(settings=PeerSettings(tombstone=30.0))
     at = model.now
