Membership at 200: short news, repairs both ways, a silent member's watchers are asked

Cause: at 200 members views were right 32.5 s after halves healed (aim 15). Traced by bytes of each kind a second: whole records of 45 bytes took the rate, and repairs were refused until a quarter of the burst was saved again, for ten seconds and more after a storm.

Change: of a known process identity, incarnation and state go out (16 bytes), who lacks it asks; a comparison mends both sides; repairs leave one datagram; the silent one's watchers are asked; datagrams are packed by size, so names of four bytes a letter get through.

--- a/bench/peers.py
+++ b/bench/peers.py
@@ -71,16 +71,27 @@
     model.run(model.now + seconds)
 
 
+OTHERS = ("crash", "split", "start", "restart")  # all views right: after a split of a minute, all started, 70% died
 TROUBLES = {"loss 30%": loss, "pauses to 5 s": pauses, "one-sided": one_sided}
 
 
+def healing(model: Model) -> float | None:
+    """Seconds until all views are right."""
+    since = model.now
+    for _ in model.steps(since + 60.0):
+        if model.settled():
+            return model.now - since
+    return None
+
+
 def play(maker: str, trouble: str, size: int, seed: int, seconds: float) -> Result:
     result = Result(maker, trouble, size, seed, seconds)
     model = Model(size, seed, PeerSettings(), MAKERS[maker])
-    model.run(2.0)
-    for _ in model.steps(60.0):
-        if model.settled():
-            break
+    model.run(1.0)
+    started = healing(model)
+    if trouble == "start":
+        result.healed, result.rate = started, max(each.sent for each in model.up()) / model.now
+        return result
     model.run(model.now + CALM)
     sent, begun, cpu = {each.name: each.sent for each in model.up()}, model.now, time.process_time()
     if trouble in TROUBLES:
@@ -98,16 +109,20 @@
         result.detections = list(first.values())
         result.missed = size - 1 - len(first)
         result.false = sound_deaths(model, at, lambda name: name != "b1")
+    elif trouble == "restart":
+        names = list(model.processes)[:size * 7 // 10]
+        for name in names:
+            model.kill(name)
+        for name in names:
+            model.at(begun + model.random.uniform(1.0, 2.0), lambda name=name: model.start(name))
+        model.run(begun + 2.0)
+        result.healed = healing(model)
     else:  # split
         half = {f"b{number}" for number in range(size // 2)}
         model.network.cut = lambda source, target: (source in half) != (target in half)
         model.run(begun + 60.0)
         model.network.cut = lambda source, target: False
-        healed = model.now
-        for _ in model.steps(healed + 60.0):
-            if model.settled():
-                result.healed = model.now - healed
-                break
+        result.healed = healing(model)
     span = model.now - begun
     result.rate = max((each.sent - sent[each.name]) / span for each in model.up())
     result.cpu = (time.process_time() - cpu) / size / span * 0.5
@@ -134,7 +149,7 @@
                  if found else "not found")
     else:
         healed = [each.healed for each in results if each.healed is not None]
-        text += f"healed {len(healed)} of {len(results)}, longest {max(healed, default=float('nan')):.2f} s"
+        text += f"right {len(healed)} of {len(results)}, longest {max(healed, default=float('nan')):.2f} s"
     return (f"{text}; {max(each.rate for each in results):.0f} B/s; "
             f"{1e6 * sum(each.cpu for each in results) / len(results):.0f} us a period")
 
@@ -172,8 +187,8 @@
 @click.option("--seeds", default=4, show_default=True, help="Runs of each kind.")
 @click.option("--seconds", default=60.0, show_default=True, help="Simulated, under a trouble.")
 @click.option("--only", "makers", multiple=True, type=click.Choice(list(MAKERS)), default=tuple(MAKERS))
-@click.option("--trouble", "troubles", multiple=True, type=click.Choice([*TROUBLES, "crash", "split"]),
-              default=(*TROUBLES, "crash", "split"))
+@click.option("--trouble", "troubles", multiple=True, type=click.Choice([*TROUBLES, *OTHERS]),
+              default=(*TROUBLES, *OTHERS))
 @click.option("--jobs", default=os.cpu_count() or 1, show_default=True)
 @click.option("--plot", type=click.Path(dir_okay=False, path_type=Path), help="Draw it into this PNG file.")
 def main(sizes: tuple[int, ...], seeds: int, seconds: float, makers: tuple[str, ...], troubles: tuple[str, ...],
--- a/stepknot/peers/members.py
+++ b/stepknot/peers/members.py
@@ -52,7 +52,6 @@
 from stepknot.peers.watched import Watched
 
 Address = tuple[str, int]
-BULK = -0.25  # so much must be left by what can wait: repairs must not starve news
 LONG_AGO = 2**20  # seconds: what is longer ago was never
 SUSPECTS_BEAT = 4  # periods between two beats to a suspect
 MANY = 0.25  # of the members
@@ -80,6 +79,8 @@
         self.news = News(settings.rounds, wire.RECORDS)
         self.errands = Errands(settings.period)
         self.rate = Rate(settings.rate, settings.burst)
+        # What can wait leaves one datagram, and on the whole no more: after a storm it is repairs that end it.
+        self.bulk = -wire.MOST_BYTES / settings.burst
         self.counters: Counter[str] = Counter()
         self.joined = self.rewire_due = self.stepped_aside = False
         self.ticked = self.woken_until = -math.inf
@@ -298,12 +299,28 @@
         if record is not None and signs:
             self.emit(now, record.address, wire.Tell(signs), ANSWERS)
 
-    def send_records(self, now: float, address: Address, records: list[Record], borrow: float = 0.0) -> None:
+    def send_records(self, now: float, address: Address, records: list[Record], borrow: float = 0.0,
+                     whole: bool = False) -> None:
         """In as many datagrams as that takes, as far as the rate allows."""
-        for start in range(0, len(records), wire.RECORDS):
-            piece = records[start:start + wire.RECORDS]
-            if not self.emit(now, address, wire.News(piece), borrow):
+        while records:
+            news, count = self.pack(now, records, whole)
+            if not self.emit(now, address, news, borrow):
                 return
+            records = records[count:]
+
+    def pack(self, now: float, records: list[Record], whole: bool = False) -> tuple[wire.News, int]:
+        """As many of them as fit one datagram. Processes that have been known for a while are known to most: of them
+        only what changed is told, and who lacks one asks for it."""
+        news, room = wire.News([], []), wire.ROOM
+        for count, record in enumerate(records):
+            identity, since = self.table.known[record.name]
+            fresh = now < since + self.settings.suspect_after
+            word = record if whole or fresh else wire.Short(identity, record.incarnation, record.state)
+            room -= wire.size_of(word)
+            if room < 0 or count == wire.WORDS:
+                return news, count
+            (news.records if isinstance(word, Record) else news.short).append(word)  # type: ignore[arg-type]
+        return news, len(records)
 
     # --- what comes
 
@@ -362,23 +379,47 @@
                     return
             else:
                 self.put(now, record, f"{sender.name} says so")
+        self.on_short(now, sender, news.short)
         if not self.joined and self.own.state is State.JOINING:
             self.joined = True
             self.become(now, "let in", state=State.ALIVE)
 
+    def on_short(self, now: float, sender: Record, words: list[wire.Short]) -> None:
+        lacking = []
+        for word in words:
+            name = self.table.identities.get(word.identity)
+            if name is None:
+                lacking.append(word.identity)
+                continue
+            record = msgspec.structs.replace(self.table.records[name], incarnation=word.incarnation, state=word.state)
+            if name == self.own.name:
+                self.prove(now, record)
+            else:
+                self.put(now, record, f"{sender.name} says so")
+        if lacking:
+            self.emit(now, sender.address, wire.Need(lacking))
+
+    def on_need(self, now: float, sender: Record, need: wire.Need) -> None:
+        names = dict.fromkeys(self.table.identities.get(each, "") for each in need.identities)
+        records = [self.table.records[name] for name in names if name]
+        self.send_records(now, sender.address, records[:wire.RECORDS], whole=True)
+        self.send_records(now, sender.address, self.table.printed(need.prints)[:wire.WORDS], self.bulk)
+
     def on_join(self, now: float, sender: Record, join: wire.Join) -> None:
         """Its own name first; of the others as many as one datagram holds, the rest by comparing."""
         others = [each for each in self.table.here.values() if each.name != sender.name]
         first = self.random.sample(others, min(len(others), wire.RECORDS - 2))
-        self.send_records(now, sender.address, [self.table.records[sender.name], self.own, *first][:wire.RECORDS])
+        self.send_records(now, sender.address, [self.table.records[sender.name], self.own, *first], whole=True)
 
     def on_sync(self, now: float, sender: Record, sync: wire.Sync) -> None:
-        found = self.table.missing(sync.first, sync.last, sync.prints)
+        found, lacking = self.table.missing(sync.first, sync.last, sync.prints)
         self.random.shuffle(found)  # what the rate cuts off is other records each time
-        self.send_records(now, sender.address, found, BULK)
+        self.send_records(now, sender.address, found, self.bulk)
+        if lacking:
+            self.emit(now, sender.address, wire.Need(prints=b"".join(lacking[:wire.WORDS])), self.bulk)
 
     handlers: dict[type, Any] = {wire.Beat: on_beat, wire.Ask: on_ask, wire.Tell: on_tell, wire.News: on_news,
-                                 wire.Join: on_join, wire.Sync: on_sync}
+                                 wire.Join: on_join, wire.Sync: on_sync, wire.Need: on_need}
 
     # --- what is done in time
 
@@ -444,11 +485,22 @@
         heard = [name for name in others if name in self.watched]
         tellers = dict.fromkeys(self.watched[name].teller for name in names)
         asked = dict.fromkeys(name for name in others if name in tellers)
+        asked |= dict.fromkeys(self.watchers_of(names, others)[:count // 2])
         asked |= dict.fromkeys(self.random.sample(heard, min(len(heard), count // 2)))
         asked |= dict.fromkeys(self.random.sample(others, min(len(others), count)))
         for name in list(asked)[:2 * count]:
             self.emit(now, self.table.records[name].address, wire.Ask(names), ANSWERS)
 
+    def watchers_of(self, names: list[str], others: list[str]) -> list[str]:
+        """Some of those that watch the silent ones: if anybody has a younger sign of life, it is they."""
+        here, free = self.table.here, set(others)
+        found = []
+        for name in names:
+            nearest, _ = self.rings.around(name, lambda each: here[each].state is State.SUSPECT)
+            able = [each for each in nearest if each in free]
+            found += self.random.sample(able, min(len(able), self.settings.helpers // 2))
+        return found
+
     def confirmed(self, now: float, watched: Watched, others: list[str]) -> bool:
         """Whether enough others had nothing younger; where all others are silent too, there is nobody to ask."""
         watched.forget_told(now - self.settings.suspect_after)
@@ -531,13 +583,14 @@
             return
         self.spread_at = now
         others = [each for each in self.table.here.values() if each.name != self.own.name]
-        names = self.news.pick(wire.RECORDS)
-        records = [self.table.records[name] for name in names if name in self.table.records]
+        picked = self.news.pick(wire.WORDS)
+        names = [name for name in picked if name in self.table.records]
+        news, count = self.pack(now, [self.table.records[name] for name in names])
         fanout = self.news.fanout(now, self.settings.fanout)
-        sent = [self.emit(now, member.address, wire.News(records))
+        sent = [self.emit(now, member.address, news)
                 for member in self.random.sample(others, min(len(others), fanout))]
         if any(sent) or not sent:  # what the rate held back of a round is not made up for
-            self.news.went(names)
+            self.news.went([*(name for name in picked if name not in self.table.records), *names[:count]])
 
     # --- what others are told of it
 
--- a/stepknot/peers/table.py
+++ b/stepknot/peers/table.py
@@ -22,10 +22,20 @@
     return int.from_bytes(blake2b(text.encode(), digest_size=8).digest()) >> 2  # the wire has 62 bits of it
 
 
+def identity_of(record: Record) -> int:
+    """Of a process: the same in all views, whatever is said of its state."""
+    text = f"{record.name}\n{record.host}\n{record.port}\n{record.process}"
+    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest()) >> 2
+
+
 def short(digest: int) -> bytes:
     return (digest >> 30).to_bytes(4)
 
 
+def split(prints: bytes) -> dict[bytes, None]:
+    return dict.fromkeys(prints[at:at + 4] for at in range(0, len(prints), 4))
+
+
 @lru_cache(4096)
 def bucket_of(name: str) -> int:
     return crc32(name.encode()) % BUCKETS
@@ -38,6 +48,8 @@
         self.here: dict[str, Record] = {}  # of these the ones not gone
         self.gone: dict[str, float] = {}  # until when the others are remembered, the oldest first
         self.why: dict[str, tuple[float, str]] = {}  # when the state changed last, and on what evidence
+        self.identities: dict[int, str] = {}  # of each record's process
+        self.known: dict[str, tuple[int, float]] = {}  # its identity, and since when that is known here
         self.counts = [0] * len(State)
         self.digest = 0  # of all records here
         self.prints: dict[str, int] = {}  # of each record, gone ones too
@@ -57,11 +69,17 @@
         found = [short(each) for name, each in self.prints.items() if start <= bucket_of(name) <= last]
         return last, b"".join(found[:PRINTS])
 
-    def missing(self, first: int, last: int, prints: bytes) -> list[Record]:
-        """The records of these buckets that are not among the prints."""
-        there = {prints[at:at + 4] for at in range(0, len(prints), 4)}
-        return [self.records[name] for name, each in self.prints.items()
-                if first <= bucket_of(name) <= last and short(each) not in there]
+    def missing(self, first: int, last: int, prints: bytes) -> tuple[list[Record], list[bytes]]:
+        """The records of these buckets that are not among the prints; the prints that are not among these records'."""
+        there = split(prints)
+        here = {short(each): name for name, each in self.prints.items() if first <= bucket_of(name) <= last}
+        return [self.records[name] for each, name in here.items() if each not in there], [
+            each for each in there if each not in here]
+
+    def printed(self, prints: bytes) -> list[Record]:
+        """The records with these prints."""
+        wanted = split(prints)
+        return [self.records[name] for name, each in self.prints.items() if short(each) in wanted]
 
     def put(self, now: float, record: Record, why: str) -> bool:
         """Whether it is news."""
@@ -74,6 +92,8 @@
         self.take_out(old)
         self.records[record.name] = record
         self.prints[record.name] = digest_of(record)
+        if old is None or old.process != record.process or old.address != record.address:
+            self.identify(now, record)
         self.counts[record.state] += 1
         self.gone.pop(record.name, None)
         if record.state in HERE:
@@ -86,6 +106,16 @@
             self.tell(record.name, old.state if old else None, record.state, why)
         return True
 
+    def identify(self, now: float, record: Record) -> None:
+        self.lose_identity(record.name)
+        identity = identity_of(record)
+        self.identities[identity] = record.name
+        self.known[record.name] = identity, now
+
+    def lose_identity(self, name: str) -> None:
+        if name in self.known:
+            del self.identities[self.known.pop(name)[0]]
+
     def room(self) -> bool:
         if len(self.records) >= self.most and self.gone:
             self.forget(next(iter(self.gone)), "no room")
@@ -101,6 +131,7 @@
         record = self.records[name]
         self.take_out(record)
         del self.records[name], self.prints[name]
+        self.lose_identity(name)
         self.gone.pop(name, None)
         self.why.pop(name, None)
         self.tell(name, record.state, None, why)
--- a/stepknot/peers/wire.py
+++ b/stepknot/peers/wire.py
@@ -10,11 +10,13 @@
 
 import msgspec
 
-from stepknot.peers.model import MOST_INCARNATION, NAME, Record
+from stepknot.peers.model import MOST_INCARNATION, NAME, Record, State
 
-VERSION = 1
+VERSION = 2
 MOST_BYTES = 1200  # of a datagram: it fits every path without being cut up
-RECORDS = 16  # in one datagram: 16 of the longest names would not fit, so senders look at the size too
+RECORDS = 16  # whole ones that a newcomer is told of, or that are asked for, at once
+WORDS = 64  # news in one datagram: as many as fit
+ROOM = 1000  # bytes for them, beside the envelope with its sender
 ASKED = 16  # members in one question: 16 of the longest names and their signs fit
 BUCKETS = 64  # parts of the table: so much of it is compared at a time as one datagram holds
 PRINTS = 256  # of records, four bytes each, in one datagram
@@ -52,8 +54,24 @@
     signs: Annotated[list[Sign], msgspec.Meta(max_length=ASKED)]
 
 
+class Short(msgspec.Struct, array_like=True, frozen=True):
+    """What changed of a process that is known: a third of a whole record."""
+
+    identity: Annotated[int, msgspec.Meta(ge=0, lt=2**62)]  # `table.identity_of`
+    incarnation: Annotated[int, msgspec.Meta(ge=0, lt=MOST_INCARNATION)]
+    state: State
+
+
 class News(msgspec.Struct, array_like=True, tag=4, frozen=True):
-    records: Annotated[list[Record], msgspec.Meta(max_length=64)]
+    records: Annotated[list[Record], msgspec.Meta(max_length=WORDS)]
+    short: Annotated[list[Short], msgspec.Meta(max_length=WORDS)] = []
+
+
+class Need(msgspec.Struct, array_like=True, tag=7, frozen=True):
+    """Short news were of processes that are not known here: who are they? And these prints of a `Sync` are not here."""
+
+    identities: Annotated[list[Annotated[int, msgspec.Meta(ge=0, lt=2**62)]], msgspec.Meta(max_length=WORDS)] = []
+    prints: Annotated[bytes, msgspec.Meta(max_length=4 * WORDS)] = b""
 
 
 class Join(msgspec.Struct, array_like=True, tag=5, frozen=True):
@@ -68,7 +86,7 @@
     prints: Annotated[bytes, msgspec.Meta(max_length=4 * PRINTS)]
 
 
-Message = Beat | Ask | Tell | News | Join | Sync
+Message = Beat | Ask | Tell | News | Join | Sync | Need
 
 
 class Envelope(msgspec.Struct, array_like=True, frozen=True):
@@ -86,6 +104,16 @@
 decoder = msgspec.msgpack.Decoder(Envelope)
 
 
+SHORT_BYTES, WHOLE_BYTES = 16, 36  # at the most; of a whole one beside its name and host
+
+
+def size_of(word: Record | Short) -> int:
+    """Bytes at the most, encoded."""
+    if isinstance(word, Short):
+        return SHORT_BYTES
+    return WHOLE_BYTES + len(word.name.encode()) + len(word.host)
+
+
 def encode(fleet: str, sender: Record, message: Message) -> bytes:
     return encoder.encode(Envelope(VERSION, fleet, sender, message))
 
--- a/tests/peers/test_decisions.py
+++ b/tests/peers/test_decisions.py
@@ -16,7 +16,7 @@
 from stepknot.peers.members import Members
 from stepknot.peers.model import HERE, MOST_EPOCH, MOST_INCARNATION, PeerSettings, Record, State
 from stepknot.peers.rings import Rings
-from stepknot.peers.table import Table
+from stepknot.peers.table import Table, identity_of
 
 
 def record(name: str = "x", epoch: int = 5, birth: int = 1, incarnation: int = 0, state: State = State.ALIVE,
@@ -39,18 +39,22 @@
     return datagram(sender, wire.Beat(-1, 0))
 
 
+def packed(sender: list[Any]) -> bytes:
+    return msgspec.msgpack.encode([wire.VERSION, "stepknot", sender, [1, 0, 0]])
+
+
 def test_what_is_absurd_is_counted_and_changes_nothing() -> None:
     found, chance = member(), random.Random(1)
     whole = beat(record())
     bad = {
         "too long": [bytes(65_507), whole + bytes(1200)],
         "malformed": [b"", b"\xc1", whole[:-1], whole[:5], chance.randbytes(100), b"\x91" * 1000,
-                      msgspec.msgpack.encode([1, "stepknot", ["x", "h", 0, 1, 1, 0, 1], [1, 0, 0]]),
-                      msgspec.msgpack.encode([1, "stepknot", ["x", "h", 1, MOST_EPOCH, 1, 0, 1], [1, 0, 0]]),
-                      msgspec.msgpack.encode([1, "stepknot", ["x", "h", 1, 1, 1, MOST_INCARNATION, 1], [1, 0, 0]]),
-                      msgspec.msgpack.encode([1, "stepknot", ["x" * 65, "h", 1, 1, 1, 0, 1], [1, 0, 0]]),
-                      msgspec.msgpack.encode([1, "stepknot", ["x", "h", 1, 1, 1, 0, 9], [1, 0, 0]])],
-        "another version": [whole.replace(b"\x94\x01", b"\x94\x02", 1)],
+                      packed(["x", "h", 0, 1, 1, 0, 1]),
+                      packed(["x", "h", 1, MOST_EPOCH, 1, 0, 1]),
+                      packed(["x", "h", 1, 1, 1, MOST_INCARNATION, 1]),
+                      packed(["x" * 65, "h", 1, 1, 1, 0, 1]),
+                      packed(["x", "h", 1, 1, 1, 0, 9])],
+        "another version": [whole.replace(bytes([0x94, wire.VERSION]), bytes([0x94, wire.VERSION - 1]), 1)],
         "another fleet": [datagram(record(), wire.Beat(-1, 0), fleet="other")],
     }
     for reason, datagrams in bad.items():
@@ -88,13 +92,19 @@
                           chance.random() < 0.5, chance.random() < 0.5),
                 wire.Ask([any_record().name for _ in range(chance.randrange(5))]), wire.Join(),
                 wire.Tell([wire.Sign(name, chance.randrange(12), chance.randrange(3), chance.randrange(-1, 9000))]),
-                wire.News([any_record() for _ in range(chance.randrange(9))]),
+                wire.News([any_record() for _ in range(chance.randrange(9))],
+                          [wire.Short(chance.choice([*found.table.identities, 7]), chance.randrange(3),
+                                      State(chance.randrange(5))) for _ in range(chance.randrange(4))]),
+                wire.Need([chance.choice([*found.table.identities, 7])], chance.randbytes(chance.randrange(60))),
                 wire.Sync(chance.randrange(64), chance.randrange(64), chance.randbytes(chance.randrange(60)))])
             found.receive(now, datagram(any_record(), message))
             found.tick(now)
             count = found.count(now)
             assert 1 <= count.at_least <= count.at_most and len(found.table.records) <= 12
             assert sum(found.table.counts) == len(found.table.records) == len(found.table.prints)
+            assert {name: each[0] for name, each in found.table.known.items()} == {
+                name: each for each, name in found.table.identities.items()}
+            assert set(found.table.known) == set(found.table.records)
             assert all(len(data) <= wire.MOST_BYTES for _, data in found.take()[0])
 
 
@@ -121,6 +131,66 @@
     assert any(isinstance(wire.decode(data, "stepknot").message, wire.News) for _, data in sent)
 
 
+def test_names_of_four_bytes_a_letter_get_through_too() -> None:
+    """Sixteen of these are over a datagram's size: fewer go at once, and none is held back for good."""
+    names = {f"{number:02}" + chr(0x1F004) * 62 for number in range(20)}
+    teller = member()
+    for name in names:
+        teller.receive(0.1, beat(record(name)))
+    teller.take()
+    teller.send_records(6.0, ("127.0.0.1", 77), [teller.table.records[name] for name in names], whole=True)
+    sent = [data for _, data in teller.take()[0]]
+    assert max(map(len, sent)) <= wire.MOST_BYTES and not teller.counters["kept back"]
+    assert names == {each.name for data in sent for each in wire.decode(data, "stepknot").message.records}
+
+
+def test_of_a_process_long_known_only_what_changed_is_told_and_who_lacks_it_asks() -> None:
+    teller, knows, lacks = member(), member(), member()
+    for each in (teller, knows):
+        each.receive(0.1, beat(record()))
+    teller.tick(0.2)
+    teller.take()
+    teller.receive(9.0, datagram(record(incarnation=3), wire.Beat(-1, 0)))
+    news, count = teller.pack(9.0, [teller.table.records["x"]])
+    assert count == 1 and not news.records and [word.incarnation for word in news.short] == [3]
+    knows.receive(9.1, datagram(record("t"), news))
+    assert knows.table.records["x"].incarnation == 3
+    lacks.receive(9.1, datagram(record("t"), news))
+    need = [wire.decode(data, "stepknot").message for _, data in lacks.take()[0]]
+    asked = [each for each in need if isinstance(each, wire.Need)]
+    assert asked and "x" not in lacks.table.records
+    teller.receive(9.2, datagram(record("lacks"), asked[0]))
+    for _, data in teller.take()[0]:  # all three have one name here: another brings it
+        lacks.receive(9.3, datagram(record("t"), wire.decode(data, "stepknot").message))
+    assert lacks.table.records["x"].incarnation == 3
+    fresh, _ = teller.pack(9.2, [teller.table.records["lacks"]])
+    assert fresh.records and not fresh.short
+
+
+def test_short_news_of_an_earlier_process_do_not_touch_the_one_that_took_its_name() -> None:
+    found, old = member(), record(epoch=5)
+    found.receive(0.1, beat(record(epoch=6)))
+    found.receive(0.2, datagram(record("t"), wire.News([], [wire.Short(identity_of(old), 9, State.DEAD)])))
+    assert found.table.records["x"].epoch == 6 and found.table.records["x"].state is State.ALIVE
+
+
+def test_a_question_about_the_table_gets_what_is_missing_and_asks_for_what_is_lacking_here() -> None:
+    found = member()
+    for name in ("a", "b"):
+        found.receive(0.1, beat(record(name)))
+    found.take()
+    found.news.left.clear()
+    other = Table(100, 600.0)
+    for each in (record("a"), record("c")):
+        other.put(0.0, each, "")
+    found.receive(0.2, datagram(record("t"), wire.Sync(0, 63, other.section(0)[1])))
+    messages = [wire.decode(data, "stepknot").message for _, data in found.take()[0]]
+    told = {each.name for message in messages if isinstance(message, wire.News) for each in message.records}
+    (need,) = [message for message in messages if isinstance(message, wire.Need)]
+    assert "b" in told and "a" not in told
+    assert {each.name for each in other.printed(need.prints)} == {"c"}
+
+
 def test_an_incarnation_near_its_end_is_followed_by_a_new_epoch() -> None:
     found = member()
     found.receive(0.1, datagram(record(), wire.News([
@@ -245,7 +315,7 @@
     while rounds == 0 or start:
         last, prints = other.section(start)
         assert len(prints) <= 4 * wire.PRINTS
-        lacking |= {each.name for each in one.missing(start, last, prints)}
+        lacking |= {each.name for each in one.missing(start, last, prints)[0]}
         start, rounds = (last + 1) % wire.BUCKETS, rounds + 1
     assert lacking == {f"m{number}" for number in range(0, 700, 50)} and rounds <= 4
 
@@ -356,3 +426,23 @@
 TestFleets = Fleets.TestCase
 TestFleets.settings = settings(max_examples=40, stateful_step_count=25, deadline=None, derandomize=True,
                                suppress_health_check=list(HealthCheck))
+
+
+def test_those_that_watch_the_silent_one_are_asked_first() -> None:
+    """Of 60 members eight watch it. Asked at random, three that never heard it would do for a false death."""
+    found = member()
+    for number in range(60):
+        found.receive(0.1, beat(record(f"m{number}", port=1000 + number)))
+    found.tick(0.2)
+    silent = next(iter(found.watched))
+    watchers = set(found.rings.around(silent, lambda name: False)[0])
+    for step in range(3, 40):
+        for number in range(60):
+            if f"m{number}" != silent:
+                found.receive(step / 10, beat(record(f"m{number}", port=1000 + number)))
+        found.tick(step / 10)
+        asked = {f"m{address[1] - 1000}" for address, data in found.take()[0]
+                 if isinstance(wire.decode(data, "stepknot").message, wire.Ask)}
+        if asked:
+            break
+    assert len(asked & watchers) >= found.settings.helpers // 2
