One owner at a time: votes on disk, leases, a ledger, and rolling drains as its first job

Need: work that is the whole fleet's is done by one broker at a time, and one that stood still and wakes late must be harmless.

Change: stepknot/ownership (decisions: voter, owner, fence, place, drains; no I/O, no clock), a voter's disk, datagrams by membership's socket, stepknot owner, found and drain, the ownership block. Off and not loaded without the block.

Processes found that a first lost memory did not raise a voter's life.

--- a/stepknot/broker/peering.py
+++ b/stepknot/broker/peering.py
@@ -36,6 +36,8 @@
         self.counted: Counts | None = None
         self.apart = False
         self.told_of_self = False
+        self.others: dict[bytes, Callable[[bytes], None]] = {}  # by a datagram's first byte: others on this socket
+        self.addresses: dict[str, tuple[str, int]] = {}  # of members, as last known
         if peers.settings.seeds and not self.members.seeds:
             log("peers_only_seed_is_this_broker", address=f"{host}:{port}")
         self.timer = loop.call_later(0.0, self.tick)
@@ -46,7 +48,21 @@
         self.timer = self.loop.call_later(self.settings.step, self.tick)
 
     def on_datagram(self, source: tuple[Any, ...], data: bytes) -> None:
-        self.guarded(lambda now: self.members.receive(now, data))
+        other = self.others.get(data[:1])
+        if other is not None:
+            other(data)
+        else:
+            self.guarded(lambda now: self.members.receive(now, data))
+
+    def send_to(self, name: str, data: bytes) -> bool:
+        """To a member, also to one that is held dead or was forgotten. False: it was never heard of."""
+        record = self.members.table.records.get(name)
+        if record is not None:
+            self.addresses[name] = record.address
+        address = self.addresses.get(name)
+        if address is not None:
+            self.socket.send(address, data)
+        return address is not None
 
     def guarded(self, what: Callable[[float], None]) -> None:
         """A defect of membership's own is told loudly and costs no query."""
--- a/stepknot/broker/service.py
+++ b/stepknot/broker/service.py
@@ -30,6 +30,7 @@
 from stepknot.broker.queries import Queries
 from stepknot.config.settings import Config
 from stepknot.discovery.boxlist import FileSource
+from stepknot.discovery.drained import Drained
 from stepknot.net.http import HttpLimits, Request, Response
 from stepknot.net.loop import LAG_BUCKETS, Coroutine, Loop
 from stepknot.net.server import Connection, Handler, Server
@@ -103,10 +104,17 @@
                 self.gate.attach(self.graph_server, self.graph.refuse, self.graph.level)
         self.admin = Server(self.loop, *config.admin, self.administer, HttpLimits(body=65536),
                             self.front.http_error) if config.admin is not None else None
-        self.source = FileSource(self.loop, config.list_file, config.list_every, self.core.take_list,
+        self.listed = Drained(self.core.take_list)
+        self.source = FileSource(self.loop, config.list_file, config.list_every, self.listed.take,
                                  lambda trouble: log("box_list_not_taken", trouble=trouble))
         self.peering = Peering(self.loop, config.peers, chance.getrandbits(62), self.core.note_instances,
                                log) if config.peers is not None else None
+        self.owning = None
+        if config.owners is not None and self.peering is not None:
+            from stepknot.broker.owning import Owning  # not needed, and not loaded, without the block
+
+            self.owning = Owning(self.loop, config.owners, self.peering, self.core, self.listed,
+                                 chance.getrandbits(62), log)
         self.registry = CollectorRegistry()
         self.registry.register(self)
 
@@ -176,6 +184,8 @@
 
     def ending(self) -> Coroutine:
         self.log("stopping", held=len(self.core.held))
+        if self.owning is not None:
+            self.owning.leave()
         if self.peering is not None:
             self.peering.leave()
         self.server.close()
@@ -192,6 +202,8 @@
                 self.loop.now < until):
             yield from self.loop.sleep(0.02)
         self.pool.close()
+        if self.owning is not None:
+            self.owning.end()
         if self.peering is not None:
             yield from self.peering.end()
         self.loop.stop()
@@ -211,10 +223,46 @@
             return Response(200, orjson.dumps({"broker": self.name, **self.gate.view()}))
         if request.path == "/peers" and self.peering is not None:
             return Response(200, orjson.dumps({"broker": self.name, **self.peering.view()}))
+        if request.path == "/owner" and self.owning is not None:
+            return Response(200, orjson.dumps({"broker": self.name, **self.owning.view()}))
+        if request.path in ("/owner/order", "/owner/yield") and self.owning is not None:
+            return (yield from self.order(request))
         if request.path.startswith("/admission/") and self.gate is not None:
             return self.change_lists(request)
         return Response(404, orjson.dumps({"error": f"nothing at {request.path}",
-                                           "known": ["/zones", "/admission", "/peers", *CHANGES]}))
+                                           "known": ["/zones", "/admission", "/peers", "/owner", *CHANGES]}))
+
+    def order(self, request: Request) -> Coroutine:
+        """An operator's word for a job of the fleet, `?job=drains`: waits until it is in the ledger, or refused."""
+        assert self.owning is not None
+        node, job = self.owning.node, request.query.get("job", "")
+        if request.method != "POST" or job not in node.jobs:
+            return Response(405 if request.method != "POST" else 404, orjson.dumps({
+                "error": f"POST, for one of these jobs: {', '.join(node.jobs)}"}))
+        if request.path == "/owner/yield":
+            done: list[bool] = []
+            self.owning.guarded(lambda now: done.append(node.hand_over(now, job, "an operator's word")))
+            return Response(200 if done == [True] else 409, orjson.dumps(
+                {"yielded": True} if done == [True] else {"error": f"{job} is not owned here",
+                                                          "owner": node.jobs[job].owner_name}))
+        number = request.query.get("number") or f"{self.loop.rng.getrandbits(64):016x}"
+        problem: list[str] = []
+
+        def begin(now: float) -> None:
+            try:
+                node.ask_for(now, job, number[:32], request.body)
+            except ValueError as error:
+                problem.append(str(error))
+
+        self.owning.guarded(begin)
+        while not problem:
+            answer = node.taken(number[:32])
+            if answer is not None:
+                problem.append(answer)
+            else:
+                yield from self.loop.sleep(0.02)
+        return Response(409, orjson.dumps({"error": problem[0], "number": number})) if problem[0] else Response(
+            200, orjson.dumps({"taken": True, "number": number}))
 
     def change_lists(self, request: Request) -> Response:
         """Ban, allow, or take off: `?network=10.0.0.0/8&seconds=600`."""
@@ -299,6 +347,8 @@
                                         len(self.graph_server.connections))]
         if self.peering is not None:
             found += self.peering.collect()
+        if self.owning is not None:
+            found += self.owning.collect()
         if self.gate is not None:
             admission = self.gate.admission
             decided = CounterMetricFamily("stepknot_admission_decisions", "What admission decided", labels=["what"])
--- a/stepknot/cli/admin.py
+++ b/stepknot/cli/admin.py
@@ -10,11 +10,12 @@
 TIME = 3.0  # seconds
 
 
-def ask(admin: tuple[str, int], path: str, method: str = "GET") -> dict[str, Any]:
+def ask(admin: tuple[str, int], path: str, method: str = "GET", body: bytes | None = None,
+        time: float = TIME) -> dict[str, Any]:
     """Raises OSError where nothing answers, or not as a broker does; its text holds what the broker said."""
-    connection = http.client.HTTPConnection(*admin, timeout=TIME)
+    connection = http.client.HTTPConnection(*admin, timeout=time)
     try:
-        connection.request(method, path)
+        connection.request(method, path, body)
         response = connection.getresponse()
         data = response.read()
         if response.status != 200:
@@ -95,3 +96,42 @@
             return (f"{name} is {row['state']} since {ago(row['since'])} s, as seen by {found['name']}\n"
                     f"why: {row['why']}\n{watched}")
     return None
+
+
+def owner_table(found: dict[str, Any]) -> str:
+    """Who owns each job, as one broker knows it, and the first job's state."""
+    voter = found["voter"]
+    word = "holds no vote" if voter is None else (
+        f"votes, life {voter['life']}, {voter['saves']} saves" if voter["votes"] else
+        f"DOES NOT VOTE: {voter['broken'] or 'it lost its memory and is on its way back'}")
+    lines = [f"{found['name']} {word}; voters {', '.join(found['voters'])}; lease {found['lease']:g} s",
+             f"{'job':<12} {'owner':<16} {'epoch':>7} {'heard':>7} {'since':>8} {'till':>6} {'record':>12}  why"]
+    for row in found["jobs"]:
+        record = "-" if row["version"] is None else "{}.{}".format(*row["version"])
+        lines.append(f"{row['job']:<12} {(row['owner'] or 'NOBODY') + (' *' if row['here'] else ''):<16} "
+                     f"{row['epoch']:>7} {ago(row['heard']):>7} {ago(row['since']):>8} {ago(row['till']):>6} "
+                     f"{record:>12}  {row['why']}")
+    return "\n".join([*lines, drain_line(found["drains"])])
+
+
+def drain_line(state: dict[str, Any] | None) -> str:
+    if state is None or state["drain"] is None:
+        return "no drain was ordered"
+    drain = state["drain"]
+    return (f"drain of zone {drain['zone']}, {drain['at_most']} at once, every {drain['every']:g} s: {state['status']}"
+            f"{' (' + state['why'] + ')' if state['why'] else ''}; out: {', '.join(state['out']) or 'none'}; "
+            f"last {state['cursor'] or '-'}; {state['steps']} steps")
+
+
+def owner_story(found: dict[str, Any], job: str) -> str | None:
+    """Why this broker holds that of a job; none where it is unknown."""
+    for row in found["jobs"]:
+        if row["job"] == job:
+            lines = [f"{job}: owner {row['owner'] or 'unknown'} by the word of epoch {row['epoch']}, heard "
+                     f"{ago(row['heard'])} s ago; last named owner {row['last_owner'] or 'none'}",
+                     f"here: {row['phase']}, greatest epoch known {row['known_epoch']}; "
+                     f"granted by {', '.join(row['granted_by']) or 'nobody'}; last: {row['why'] or 'nothing'}",
+                     f"record {row['version']}; {'a' if row['ready'] else 'NOT READY: no'} majority of voters was read "
+                     f"since the start; {row['older_refused']} older ones refused"]
+            return "\n".join(lines)
+    return None
--- a/stepknot/cli/main.py
+++ b/stepknot/cli/main.py
@@ -9,13 +9,14 @@
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
+from urllib.parse import quote
 
 import click
 
 from stepknot import __version__
 from stepknot.cli.logs import make_log
 from stepknot.config.hcl import ConfigError
-from stepknot.config.readers import Bad, address
+from stepknot.config.readers import Bad, address, duration
 from stepknot.config.settings import Config, load
 
 LEVELS = click.Choice(["debug", "info", "error"])
@@ -260,6 +261,138 @@
         time.sleep(watch)
 
 
+@cli.command()
+@click.argument("admin", type=Address())
+@click.option("--json", "as_json", is_flag=True, help="Print what the broker says as it is.")
+@click.option("--why", metavar="JOB", help="The evidence for who owns this job.")
+@click.option("--yield", "job", metavar="JOB", help="Have the broker hand this job over to the next in line.")
+def owner(admin: tuple[str, int], as_json: bool, why: str | None, job: str | None) -> None:
+    """Show who owns each job of the fleet, as the broker with the admin socket ADMIN knows it.
+
+    Exit code 1 where a job has no owner, this voter does not vote, or there is nothing to yield; 2 where nothing
+    answers or JOB is unknown.
+
+    \b
+    Example: stepknot owner 127.0.0.1:9300 --why drains
+    """
+    import orjson
+
+    from stepknot.cli.admin import ask, owner_story, owner_table
+
+    try:
+        if job is not None:
+            ask(admin, f"/owner/yield?job={quote(job)}", "POST")
+        found = ask(admin, "/owner")
+    except OSError as error:
+        click.echo(f"error: {admin[0]}:{admin[1]}: {error}", err=True)
+        raise SystemExit(1 if "not owned here" in str(error) else 2) from None
+    text = owner_table(found)
+    if why is not None:
+        story = owner_story(found, why)
+        if story is None:
+            click.echo(f"error: no job {why}; known: {', '.join(row['job'] for row in found['jobs'])}", err=True)
+            raise SystemExit(2)
+        text = story
+    click.echo(orjson.dumps(found) if as_json else text)
+    voter = found["voter"]
+    well = all(row["owner"] for row in found["jobs"]) and (voter is None or voter["votes"])
+    raise SystemExit(0 if well or job is not None else 1)
+
+
+@cli.command()
+@click.argument("config", type=CONFIG)
+def found(config: Path) -> None:
+    """Begin the memory of a voter that has never voted, in the folder that CONFIG's ownership block names.
+
+    Once for each voter, before the fleet's first start. Never for a voter that lost its folder: it finds its way back
+    by itself, and what is begun anew would forget what it promised. Exit code 2 where a state is there already.
+
+    \b
+    Example: stepknot found broker.hcl
+    """
+    from stepknot.broker.voterstore import VoterStore
+
+    settings = read_config(config)
+    if settings.owners is None or settings.owners.state is None or settings.peers is None:
+        click.echo(f"error: {config}: this broker is none of the voters of an ownership block", err=True)
+        raise SystemExit(2)
+    try:
+        VoterStore(settings.owners.state, settings.owners.settings.fleet, settings.peers.name).found()
+    except OSError as error:
+        click.echo(f"error: {config}: ownership.state: {error}", err=True)
+        raise SystemExit(2) from None
+    click.echo(f"{settings.peers.name} may vote; its memory is in {settings.owners.state}")
+
+
+class Over(click.ParamType[float]):
+    name = "failing>SHARE"
+
+    def convert(self, value: Any, param: Any, ctx: Any) -> float:
+        text = value.removeprefix("failing>") if isinstance(value, str) else ""
+        try:
+            share = float(text.removesuffix("%")) / (100 if text.endswith("%") else 1)
+        except ValueError:
+            share = -1.0
+        if text == value or not 0 <= share <= 1:
+            self.fail("expected 'failing>2%' or 'failing>0.02'", param, ctx)
+        return share
+
+
+class Seconds(click.ParamType[float]):
+    name = "duration"
+
+    def convert(self, value: Any, param: Any, ctx: Any) -> float:
+        try:
+            return duration(value)
+        except Bad as error:
+            self.fail(str(error), param, ctx)
+
+
+@cli.command()
+@click.argument("admin", type=Address())
+@click.option("--zone", help="Drain the boxes of this zone, one after the other.")
+@click.option("--at-most", type=click.IntRange(1, 16), default=1, show_default=True, help="So many out at once.")
+@click.option("--every", type=Seconds(), default="5s", show_default=True, help="For so long each is out.")
+@click.option("--pause-if", type=Over(), help="Halt while more queries fail, such as 'failing>2%'.")
+@click.option("--force", is_flag=True, help="Also where a box is the last one that holds its data.")
+@click.option("--stop", is_flag=True, help="No further step; what is out stays out.")
+@click.option("--go-on", is_flag=True, help="Go on after --stop.")
+@click.option("--undo", is_flag=True, help="Take all back at once, and end it.")
+def drain(admin: tuple[str, int], zone: str | None, at_most: int, every: float, pause_if: float | None, force: bool,
+          stop: bool, go_on: bool, undo: bool) -> None:
+    """Drain the boxes of a zone in steps, by any broker of the fleet: the one that owns the job does it.
+
+    A drained box gets nothing new; after its time it is taken back, and the next one goes. The drain outlives its
+    owner: the next one goes on where the ledger says it stood. Without an option: where it stands. Exit code 1 where
+    the order is refused, 2 where nothing answers.
+
+    \b
+    Example: stepknot drain 127.0.0.1:9300 --zone a --at-most 1 --every 5s --pause-if 'failing>2%'
+             stepknot drain 127.0.0.1:9300 --undo
+    """
+    import os
+
+    import orjson
+
+    from stepknot.cli.admin import ask, drain_line
+
+    said = [each for each in (zone is not None, stop, go_on, undo) if each]
+    if len(said) > 1:
+        raise click.UsageError("one of --zone, --stop, --go-on, --undo")
+    word: dict[str, Any] = {"stop": stop, "go_on": go_on, "undo": undo}
+    if zone is not None:
+        word["drain"] = {"zone": zone, "at_most": at_most, "every": every, "force": force,
+                         "failing": 1.0 if pause_if is None else pause_if}
+    try:
+        if said:
+            ask(admin, f"/owner/order?job=drains&number={os.urandom(8).hex()}", "POST", orjson.dumps(word), 60.0)
+        found = ask(admin, "/owner")
+    except OSError as error:
+        click.echo(f"error: {admin[0]}:{admin[1]}: {error}", err=True)
+        raise SystemExit(1 if "status 409" in str(error) else 2) from None
+    click.echo(drain_line(found["drains"]))
+
+
 @cli.command()
 @click.argument("admin", type=Address())
 @click.option("--json", "as_json", is_flag=True, help="Print what the broker says as it is.")
--- a/stepknot/cli/serve.py
+++ b/stepknot/cli/serve.py
@@ -8,6 +8,7 @@
 import orjson
 
 from stepknot.broker.service import Service
+from stepknot.broker.voterstore import Unfit
 from stepknot.config.settings import Config
 from stepknot.fronts.search.app import SearchFront
 
@@ -27,6 +28,9 @@
 def run(config: Config, log: Log, load_again: Callable[[], Config] | None = None) -> int:
     try:
         service = make(config, log, load_again)
+    except Unfit as error:
+        print(f"error: ownership.state: {error}", file=sys.stderr)
+        return 2
     except OSError as error:  # an address that is taken, or none of this machine's
         print(f"error: cannot listen: {error}", file=sys.stderr)
         return 2
--- a/stepknot/config/settings.py
+++ b/stepknot/config/settings.py
@@ -16,6 +16,7 @@
 from stepknot.config.admission import read_admission
 from stepknot.config.graphql import GraphReader, GraphSettings
 from stepknot.config.hcl import Block, ConfigError, Value, parse
+from stepknot.config.ownership import Owners, read_ownership
 from stepknot.config.peers import Peers, read_peers
 from stepknot.config.readers import (
     Checker,
@@ -38,7 +39,7 @@
 MORE_OPERATIONS = {"entities": "mget"}  # those that go by another's class where none names them
 FIELD_TYPES = ("text", "keyword", "long", "integer", "short", "byte", "double", "float", "date", "boolean")
 # Blocks without a name.
-SINGLE = ("fleet", "zones", "rules", "limits", "boxes", "http", "request", "graphql", "admission", "peers")
+SINGLE = ("fleet", "zones", "rules", "limits", "boxes", "http", "request", "graphql", "admission", "peers", "ownership")
 TOP = {
     "name": Key(text, "stepknot"), "zone": Key(text, ""), "listen": Key(address, ("127.0.0.1", 9200)),
     "admin": Key(address, None),
@@ -127,6 +128,7 @@
     tenants: dict[str, float] = field(default_factory=dict)  # share of the traffic that each was promised
     admission: AdmissionSettings | None = None  # none: every connection is taken
     peers: Peers | None = None  # none: this broker knows of no other
+    owners: Owners | None = None  # none: no job of the fleet is taken here, and no ledger read
     graphql: GraphSettings | None = None  # the second front; none: it is not served
 
 
@@ -167,6 +169,7 @@
         single["graphql"], folder) if "graphql" in single else None
     admission = read_admission(checker, single.get("admission"), request["held"] or 1, folder)
     peers = read_peers(checker, single.get("peers"), plain["listen"], plain["instances"])
+    owners = read_ownership(checker, single.get("ownership"), peers, folder)
     if checker.problems:
         raise ConfigError(sorted(checker.problems, key=lambda each: each.line))
     settings = api.Settings(
@@ -180,7 +183,7 @@
         operations=operations, indices=indices, connections=boxes["connections"],
         connect_timeout=boxes["connect_timeout"], reply=boxes["reply"], http=HttpLimits(**http),
         tenants=tenants, admin=plain["admin"], zones=zone_settings(plain["zone"], zones), graphql=graphql,
-        admission=admission, peers=peers,
+        admission=admission, peers=peers, owners=owners,
         **request,
     )
 
--- a/stepknot/lab/fleet.py
+++ b/stepknot/lab/fleet.py
@@ -111,7 +111,7 @@
 {admission}
 }}
 
-{peers}index "{index}" {{
+{peers}{ownership}index "{index}" {{
   shards = {shards}
 {fields}}}
 
@@ -154,7 +154,7 @@
 def settings_text(**given: Any) -> str:
     values = {"name": "demo", "zone": "a", "port": 0, "admin": 0, "graph": 0, "instances": 2, "cells": 4,
               "shards": 12, "aim": 1.0, "deadline": 3.0, "cold_time": 10, "extra_floor": 20, "zones": "true",
-              "admission": "  enabled = false", "peers": "",
+              "admission": "  enabled = false", "peers": "", "ownership": "",
               "index": corpus.INDEX} | given
     values["fields"] = "".join(f'  field "{name}" {{\n    type = "{kind}"\n  }}\n'
                                for name, kind in corpus.FIELDS.items())
@@ -172,6 +172,12 @@
 """
 
 
+def block_text(kind: str, keys: dict[str, Any]) -> str:
+    """A block of plain keys; none where there are none."""
+    body = "".join(f"  {key} = {orjson.dumps(value).decode()}\n" for key, value in keys.items())
+    return f"{kind} {{\n{body}}}\n\n" if keys else ""
+
+
 def free_ports(count: int) -> list[int]:
     """Ports that were free a moment ago, all different, and none that a connecting socket may be given meanwhile."""
     chance = random.SystemRandom()
@@ -222,6 +228,7 @@
     graph: int = 0
     peer: int = 0  # the UDP port of membership; 0: it takes no part
     name: str = ""  # among its peers
+    owners: dict[str, Any] = field(default_factory=dict)  # keys of its `ownership` block
     peers: dict[str, Any] = field(default_factory=dict)  # further keys of its `peers` block, as HCL
     process: subprocess.Popen[bytes] | None = None
 
@@ -285,6 +292,7 @@
         for broker in self.brokers:
             text = settings_text(port=broker.port, admin=broker.admin, graph=broker.graph,
                                  zone=broker.zone, peers=self.peers_text(broker),
+                                 ownership=block_text("ownership", broker.owners),
                                  instances=len(self.brokers), cells=self.cells, **self.settings)
             (self.folder / f"broker-{broker.number}.hcl").write_text(text)
 
--- /dev/null
+++ b/tests/ownership/test_processes.py
@@ -0,0 +1,342 @@
+"""Five processes of the program, three of them voters, with links that fail, stalls, kills and lost disks.
+
+What is checked is taken where the ledger's records are carried out: each broker's own word on which record it took, in
+its log, in order. No record is taken after a newer one, none differs between two brokers, none takes out more boxes
+than was asked, and no box goes twice.
+"""
+
+from __future__ import annotations
+
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from datetime import datetime
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from stepknot.cli.admin import ask
+from stepknot.lab.fleet import Fleet
+from tests.processes import Brokers
+
+LEASE = 0.8
+VOTERS = ["b0", "b1", "b2"]
+Row = tuple[int, int, tuple[str, ...], str]  # epoch, step, what is out, status
+
+
+def run(*words: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run([sys.executable, "-m", "stepknot", *words], capture_output=True, text=True, timeout=60)
+
+
+class Owners(Brokers):
+    def owner_view(self, name: str) -> dict[str, Any]:
+        return ask(("127.0.0.1", self[name].admin), "/owner")
+
+    def job(self, name: str) -> dict[str, Any]:
+        (row,) = self.owner_view(name)["jobs"]
+        return row  # type: ignore[no-any-return]
+
+    def story(self) -> dict[str, Any]:
+        return {name: (self.job(name), self.owner_view(name)["voter"], self.drains(name)) for name in self.running()}
+
+    def owner(self) -> str:
+        """The one that all running ones name; empty while they do not agree."""
+        named = {self.job(name)["owner"] for name in self.running()}
+        found = named.pop() if len(named) == 1 else ""
+        return found if found and found not in self.stopped and self.job(found)["here"] else ""
+
+    def wait_owner(self, but: str = "") -> str:
+        found = [""]
+
+        def there() -> bool:
+            found[0] = self.owner()
+            return found[0] not in ("", but)
+
+        self.until(there)
+        return found[0]
+
+    def drains(self, name: str) -> dict[str, Any]:
+        return self.owner_view(name)["drains"] or {"status": "none", "steps": 0, "out": []}
+
+    def all_done(self) -> None:
+        self.until(lambda: all(self.drains(name)["status"] == "done" for name in self.running()))
+
+    def said(self, name: str, *words: str) -> subprocess.CompletedProcess[str]:
+        return run("drain", f"127.0.0.1:{self[name].admin}", *words)
+
+    def folder(self, name: str) -> Path:
+        return self.fleet.folder / f"votes-{name}"
+
+    def history(self, at_most: int = 1, restarted: tuple[str, ...] = ()) -> list[Row]:
+        """All records that anybody carried out, in the ledger's order; a process that starts again begins anew."""
+        seen: dict[tuple[int, int], Row] = {}
+        for name in self.names:
+            rows: list[Row] = [(row["epoch"], row["step"], tuple(row["out"]), row["status"])
+                               for row in self.logged(name, b'"drains_changed"')]
+            for row in rows:
+                assert seen.setdefault(row[:2], row) == row, f"{name} took another {row[:2]}"
+                assert len(row[2]) <= at_most
+            versions = [row[:2] for row in rows]
+            if name not in restarted:
+                assert versions == sorted(set(versions)), f"{name} took an older record after a newer one"
+        return [seen[version] for version in sorted(seen)]
+
+
+def check_steps(history: list[Row], boxes: list[str]) -> None:
+    """From one record to the next one box goes or comes, each of them once, in order."""
+    gone: list[str] = []
+    before: tuple[str, ...] = ()
+    for _, _, out, _ in history:
+        assert len(set(out) ^ set(before)) <= 1, (before, out)
+        gone += [each for each in out if each not in before]
+        before = out
+    assert gone == boxes and not before
+
+
+def stamp(row: dict[str, Any]) -> float:
+    return datetime.fromisoformat(row["timestamp"]).timestamp()
+
+
+@pytest.fixture(scope="module")
+def running(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Owners]:
+    fleet = Fleet.plan(tmp_path_factory.mktemp("owners"), 5, 6, 300, cells=3, work_ms=0.5, with_peers=True)
+    links = fleet.relay(seed=5)
+    for broker in fleet.brokers:
+        broker.peers |= {"period": 0.25, "pause": 2.0, "tombstone": 120.0}
+        broker.owners = {"voters": VOTERS, "state": f"votes-{broker.name}", "lease": LEASE}
+    try:
+        fleet.write_settings()
+        for broker in fleet.brokers[:3]:
+            settings = str(fleet.folder / f"broker-{broker.number}.hcl")
+            first, again = run("found", settings), run("found", settings)
+            assert first.returncode == 0, first.stderr
+            assert again.returncode == 2 and "is there" in again.stderr
+        fleet.start(lambda text: None)
+        yield Owners(fleet, links)
+    finally:
+        fleet.stop()
+
+
+@pytest.fixture
+def brokers(running: Owners) -> Owners:
+    """All up, one owner, no drain."""
+    running.links.heal()
+    for name in list(running.stopped):
+        process = running[name].process
+        assert process is not None
+        if process.poll() is None:
+            running.go_on(name)
+        else:
+            running.start(name)
+    running.agree()
+    running.wait_owner()
+    if running.drains("b0")["status"] in ("running", "halted", "stopped"):
+        assert running.said("b0", "--undo").returncode == 0
+    running.until(lambda: len({tuple(running.job(name)["version"]) for name in running.names}) == 1)
+    for broker in running.fleet.brokers:
+        (running.fleet.folder / f"broker-{broker.number}.log").write_bytes(b"")
+    return running
+
+
+def zone_a(brokers: Owners) -> list[str]:
+    return sorted(box.address for box in brokers.fleet.boxes if box.zone == "a")
+
+
+def test_one_owner_is_known_to_all_and_a_drain_takes_each_box_once(brokers: Owners) -> None:
+    client = next(name for name in ("b3", "b4") if name != brokers.owner())
+    said = brokers.said(client, "--zone", "a", "--every", "300ms")
+    assert said.returncode == 0, said.stderr
+    brokers.all_done()
+    check_steps(brokers.history(), zone_a(brokers))
+
+
+def test_a_killed_owner_is_followed_by_one_that_goes_on_with_the_drain(brokers: Owners) -> None:
+    first = brokers.owner()
+    epoch = brokers.job(first)["epoch"]
+    assert brokers.said("b3", "--zone", "a", "--every", "400ms").returncode == 0
+    brokers.until(lambda: brokers.drains("b4")["steps"] >= 2)
+    brokers.end(first)
+    since = time.monotonic()
+    second = brokers.wait_owner(but=first)
+    took = time.monotonic() - since
+    assert took < 2.5 * LEASE + 1.0, took
+    assert brokers.job(second)["epoch"] > epoch
+    brokers.all_done()
+    check_steps(brokers.history(restarted=(first,)), zone_a(brokers))
+
+
+def test_an_owner_that_wakes_after_two_successors_changes_nothing(brokers: Owners) -> None:
+    first = brokers.owner()
+    watching = next(name for name in ("b3", "b4") if name != first)
+    assert brokers.said(first, "--zone", "a", "--every", "400ms").returncode == 0
+    brokers.until(lambda: brokers.drains(watching)["steps"] >= 1)
+    brokers.stop(first)
+    second = brokers.wait_owner(but=first)
+    assert ask(("127.0.0.1", brokers[second].admin), "/owner/yield?job=drains", "POST")["yielded"]
+    third = brokers.wait_owner(but=second)
+    epoch = brokers.job(third)["epoch"]
+    brokers.go_on(first)
+    brokers.all_done()
+    assert brokers.job(first)["epoch"] >= epoch
+    check_steps(brokers.history(), zone_a(brokers))
+
+
+def test_an_owner_that_stops_at_sigterm_hands_over_at_once(brokers: Owners) -> None:
+    first = brokers.owner()
+    brokers.end(first, by=signal.SIGTERM)
+    second = brokers.wait_owner(but=first)
+    (lost,) = brokers.logged(first, b'"job_lost"')
+    owned = brokers.logged(second, b'"job_owned"')[0]
+    assert lost["why"] == "told to stop"
+    assert stamp(owned) - stamp(lost) < LEASE / 2
+
+
+@pytest.mark.parametrize("heard", [True, False])
+def test_an_owner_cut_off_in_one_direction_loses_the_job_once(brokers: Owners, heard: bool) -> None:
+    first = brokers.owner()
+    others = [name for name in brokers.names if name != first]
+    if heard:  # the others hear it, it hears nobody
+        brokers.links.cut(others, [first])
+    else:
+        brokers.links.cut([first], others)
+    brokers.stopped.add(first)  # it cannot agree with the others now
+    second = brokers.wait_owner(but=first)
+    epoch = brokers.job(second)["epoch"]
+    brokers.until(lambda: not brokers.job(first)["here"])
+    brokers.watch(4 * LEASE)  # it goes on trying, and does not make the job flap
+    assert brokers.job(second)["here"] and brokers.job(second)["epoch"] == epoch
+    brokers.stopped.discard(first)
+    brokers.links.heal()
+    brokers.agree()
+    brokers.history()
+
+
+def test_an_owner_in_the_smaller_part_stops_and_the_greater_part_goes_on(brokers: Owners) -> None:
+    first = brokers.owner()
+    small = [first] if first in VOTERS else [first, "b0"]
+    great = [name for name in brokers.names if name not in small]
+    assert brokers.said("b3", "--zone", "a", "--every", "300ms").returncode == 0
+    brokers.links.part(small, great)
+    brokers.stopped |= set(small)
+    brokers.wait_owner(but=first)
+    brokers.all_done()
+    brokers.stopped -= set(small)
+    brokers.until(lambda: not brokers.job(first)["here"])
+    brokers.links.heal()
+    brokers.agree()
+    brokers.all_done()
+    check_steps(brokers.history(), zone_a(brokers))
+
+
+def test_with_most_voters_gone_nobody_owns_and_all_say_so_until_one_returns(brokers: Owners) -> None:
+    epoch = brokers.job("b4")["epoch"]
+    brokers.end("b1", "b2")
+    brokers.until(lambda: all(brokers.job(name)["owner"] == "" for name in brokers.running()))
+    shown = run("owner", f"127.0.0.1:{brokers['b3'].admin}")
+    assert shown.returncode == 1 and "NOBODY" in shown.stdout
+    brokers.start("b1")
+    brokers.wait_owner()
+    assert brokers.job("b4")["epoch"] > epoch
+
+
+def test_all_voters_killed_at_once_remember_and_the_drain_goes_on(brokers: Owners) -> None:
+    assert brokers.said("b3", "--zone", "a", "--every", "400ms").returncode == 0
+    brokers.until(lambda: brokers.drains("b4")["steps"] >= 2)
+    epoch = brokers.job("b4")["epoch"]
+    brokers.end(*VOTERS)
+    brokers.start(*VOTERS)
+    brokers.all_done()
+    assert brokers.job("b4")["epoch"] >= epoch
+    check_steps(brokers.history(restarted=tuple(VOTERS)), zone_a(brokers))
+
+
+@pytest.mark.parametrize("trouble", ["empty", "flipped"])
+def test_a_voter_that_lost_its_memory_finds_its_way_back_and_votes(brokers: Owners, trouble: str) -> None:
+    life = brokers.owner_view("b1")["voter"]["life"]
+    brokers.end("b1")
+    if trouble == "empty":
+        shutil.rmtree(brokers.folder("b1"))
+        os.mkdir(brokers.folder("b1"))
+    else:
+        path = brokers.folder("b1") / "voter.state"
+        data = bytearray(path.read_bytes())
+        data[len(data) // 2] ^= 1
+        path.write_bytes(data)
+    brokers.start("b1")
+    (lost,) = brokers.logged("b1", b'"voter_lost_its_memory"')
+    assert lost["why"] == ("there is no state" if trouble == "empty" else "its checksum is wrong")
+    brokers.until(lambda: bool(brokers.owner_view("b1")["voter"]["votes"]))
+    assert brokers.owner_view("b1")["voter"]["life"] == life + 1
+    brokers.wait_owner()
+    brokers.end("b0")  # now its vote is needed, also for the next owner
+    second = brokers.wait_owner(but="b0")
+    assert ask(("127.0.0.1", brokers[second].admin), "/owner/yield?job=drains", "POST")["yielded"]
+    brokers.wait_owner(but=second)
+
+
+def test_a_voter_whose_disk_fails_says_nothing_more_and_the_others_go_on(brokers: Owners) -> None:
+    os.rename(brokers.folder("b2"), brokers.folder("aside"))
+    try:
+        assert brokers.said("b3", "--zone", "a", "--every", "300ms").returncode == 0
+        brokers.until(lambda: "cannot be written" in brokers.owner_view("b2")["voter"]["broken"])
+        brokers.all_done()
+        shown = run("owner", f"127.0.0.1:{brokers['b2'].admin}")
+        assert shown.returncode == 1 and "DOES NOT VOTE" in shown.stdout
+        brokers.end("b2")
+    finally:
+        os.rename(brokers.folder("aside"), brokers.folder("b2"))
+    brokers.start("b2")
+    brokers.until(lambda: bool(brokers.owner_view("b2")["voter"]["votes"]))
+    check_steps(brokers.history(restarted=("b2",)), zone_a(brokers))
+
+
+def test_a_rolling_restart_of_all_while_a_drain_runs(brokers: Owners) -> None:
+    assert brokers.said("b3", "--zone", "a", "--every", "500ms").returncode == 0
+    for name in brokers.names:
+        brokers.end(name, by=signal.SIGTERM)
+        brokers.start(name)
+        brokers.wait_owner()
+    brokers.all_done()
+    check_steps(brokers.history(restarted=tuple(brokers.names)), zone_a(brokers))
+
+
+def test_orders_that_cannot_be_taken_are_refused_with_the_reason_and_change_nothing(brokers: Owners) -> None:
+    before = brokers.job("b3")["version"]
+    gone = [box for box in brokers.fleet.boxes if box.zone == "b" and box.cell == 0]
+    for words, reason in ((["--zone", "nowhere"], "no box in zone nowhere"), (["--undo"], "no drain runs")):
+        said = brokers.said("b3", *words)
+        assert said.returncode == 1 and reason in said.stderr, said.stderr
+    for box in gone:
+        box.listed = False
+    brokers.fleet.write_list()
+    try:
+        owner = brokers.owner()
+
+        def known() -> bool:  # to the owner
+            return len([row for row in brokers.logged(owner, b'"box_listed"') if row["state"] == "gone"]) >= len(gone)
+
+        brokers.until(known)
+        said = brokers.said("b3", "--zone", "a")
+        assert said.returncode == 1 and "is the last box of cell 0: with force only" in said.stderr, said.stderr
+    finally:
+        for box in gone:
+            box.listed = True
+        brokers.fleet.write_list()
+    assert brokers.job("b3")["version"] == before
+
+
+def test_a_drain_can_be_stopped_continued_and_undone(brokers: Owners) -> None:
+    assert brokers.said("b3", "--zone", "a", "--every", "30s", "--at-most", "2").returncode == 0
+    brokers.until(lambda: len(brokers.drains("b0")["out"]) == 1)
+    assert brokers.said("b1", "--stop").returncode == 0
+    second = brokers.said("b3", "--zone", "b")
+    assert second.returncode == 1 and "a drain of zone a is stopped" in second.stderr
+    assert brokers.said("b4", "--go-on").returncode == 0
+    assert brokers.said("b2", "--undo").returncode == 0
+    brokers.until(lambda: all(brokers.drains(name)["status"] == "undone" and not brokers.drains(name)["out"]
+                              for name in brokers.names))
--- a/tests/peers/test_processes.py
+++ b/tests/peers/test_processes.py
@@ -6,13 +6,9 @@
 
 from __future__ import annotations
 
-import http.client
-import os
 import signal
-import time
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from pathlib import Path
-from typing import Any
 
 import orjson
 import pytest
@@ -20,124 +16,17 @@
 from stepknot.cli.admin import ask
 from stepknot.lab.audit import Records, audit
 from stepknot.lab.day import run_day
-from stepknot.lab.fleet import Broker, Fleet, read_ready
-from stepknot.lab.links import Links, Rule
+from stepknot.lab.fleet import Fleet, read_ready
+from stepknot.lab.links import Rule
 from stepknot.lab.script import Script, Step
+from tests.processes import Brokers
 
 PERIOD, PAUSE = 0.25, 2.0
 DEATH = PAUSE + PERIOD
-SLOW = 30.0  # seconds for what takes a few, on a machine with much else to do
 NAMES = [f"b{number}" for number in range(7)]
 KEYS = {"period": PERIOD, "pause": PAUSE, "tombstone": 120.0}
 
 
-class Brokers:
-    """The fleet as the tests see it."""
-
-    def __init__(self, fleet: Fleet, links: Links) -> None:
-        self.fleet, self.links = fleet, links
-        self.asked = 0
-        self.stopped: set[str] = set()
-
-    def __getitem__(self, name: str) -> Broker:
-        return next(each for each in self.fleet.brokers if each.name == name)
-
-    def view(self, name: str) -> dict[str, Any]:
-        return ask(("127.0.0.1", self[name].admin), "/peers")
-
-    def alive(self, name: str) -> set[str]:
-        return {row["name"] for row in self.view(name)["members"] if row["state"] == "alive"}
-
-    def out(self, gone: set[str]) -> bool:
-        """Whether all others hold exactly these to be dead."""
-        return all({row["name"] for row in self.view(name)["members"] if row["state"] == "dead"} == gone
-                   for name in NAMES if name not in gone | self.stopped)
-
-    def query(self) -> None:
-        """One of those that run answers a search, whatever became of the others."""
-        running = [name for name in NAMES if name not in self.stopped]
-        if not running:
-            return
-        broker = self[running[self.asked % len(running)]]
-        self.asked += 1
-        connection = http.client.HTTPConnection("127.0.0.1", broker.port, timeout=5)
-        try:
-            connection.request("POST", "/reports/_search", orjson.dumps({"size": 1}),
-                               {"content-type": "application/json"})
-            response = connection.getresponse()
-            response.read()
-            assert response.status in (200, 429, 503), response.status
-        finally:
-            connection.close()
-
-    def until(self, what: Callable[[], bool], within: float = SLOW) -> None:
-        end = time.monotonic() + within
-        while not what():
-            assert time.monotonic() < end, {name: (self.alive(name), self.view(name)["isolated_why"])
-                                            for name in NAMES if name not in self.stopped}
-            self.query()
-            time.sleep(0.05)
-
-    def watch(self, seconds: float) -> None:
-        """Let it go on for so long: to see that something does not happen, there is nothing to wait for."""
-        end = time.monotonic() + seconds
-        while time.monotonic() < end:
-            self.query()
-            time.sleep(0.05)
-
-    def agreed(self) -> bool:
-        views = [self.view(name) for name in NAMES]
-        return len({view["digest"] for view in views}) == 1 and all(
-            view["live"] == 7 and view["sure"] for view in views)
-
-    def agree(self) -> None:
-        self.until(self.agreed)
-
-    def changes(self, name: str) -> list[dict[str, Any]]:
-        text = (self.fleet.folder / f"broker-{self[name].number}.log").read_bytes()
-        return [orjson.loads(line) for line in text.splitlines() if b'"peer' in line]
-
-    def dead(self, since: dict[str, int]) -> set[str]:
-        """Who was held dead by anybody since then."""
-        return {row["peer"] for name in NAMES for row in self.changes(name)[since[name]:]
-                if row["event"] == "peer_changed" and row["new"] == "dead"}
-
-    def mark(self) -> dict[str, int]:
-        return {name: len(self.changes(name)) for name in NAMES}
-
-    def stop(self, *names: str) -> None:
-        for name in names:
-            process = self[name].process
-            assert process is not None
-            os.kill(process.pid, signal.SIGSTOP)
-        self.stopped |= set(names)
-
-    def go_on(self, *names: str) -> None:
-        for name in names:
-            process = self[name].process
-            assert process is not None
-            os.kill(process.pid, signal.SIGCONT)
-        self.stopped -= set(names)
-
-    def end(self, *names: str, by: int = signal.SIGKILL) -> None:
-        self.stopped |= set(names)
-        for name in names:
-            process = self[name].process
-            assert process is not None
-            process.send_signal(by)
-        for name in names:
-            process = self[name].process
-            assert process is not None
-            process.wait(20)
-
-    def start(self, *names: str) -> None:
-        for name in names:
-            self.fleet.start_broker(self[name])
-        for name in names:
-            read_ready(self[name].process, name)
-        self.stopped -= set(names)
-
-
 @pytest.fixture(scope="module")
 def running(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Brokers]:
     fleet = Fleet.plan(tmp_path_factory.mktemp("peers"), 7, 4, 400, cells=2, work_ms=0.5, with_peers=True)
@@ -300,7 +189,7 @@
         brokers.until(lambda: "b2" in brokers.alive("b0"))
         brokers.go_on("b2")
         brokers.until(lambda: bool(brokers.view("b2")["stepped_aside"]))
-        assert any(row["event"] == "peers_stepped_aside" for row in brokers.changes("b2"))
+        assert any(row["event"] == "peers_stepped_aside" for row in brokers.logged("b2"))
         assert not ask(("127.0.0.1", spare.admin), "/peers")["stepped_aside"]
     finally:
         assert spare.process is not None
