--- a/stepknot/lab/ownership_model.py
+++ b/stepknot/lab/ownership_model.py
@@ -70,6 +70,7 @@
         self.down: set[str] = set()  # for the members' view, which learns of it late
         self.committed: dict[str, dict[tuple[int, int], bytes]] = {name: {} for name in self.jobs}
         self.applied: dict[tuple[str, int, str], tuple[int, int]] = {}
+        self.ever: dict[tuple[str, str], tuple[int, int]] = {}  # by any process under the name
         self.owned: dict[str, float] = dict.fromkeys(self.jobs, 0.0)  # when somebody last acted
         self.longest: float = 0.0  # without an owner
         self.overlaps = 0
@@ -220,6 +221,10 @@
             history[held.version] = held.value
 
     def carry_out(self, job: str, name: str, birth: int, held: m.Held) -> None:
+        last = self.ever.get((name, job), (0, 0))
+        if held.version < last:
+            raise Breach(f"{name} carries out {held.version} of {job}, and before its restart it did {last}")
+        self.ever[name, job] = held.version
         newest = self.applied.get((name, birth, job), (0, 0))
         if held.version <= newest:
             raise Breach(f"{name} carries out {held.version} of {job} after {newest}")
--- a/stepknot/ownership/fence.py
+++ b/stepknot/ownership/fence.py
@@ -26,8 +26,11 @@
         able = {each: self.answers[each] for each in sound(self.answers)}
         if len(able) < self.majority:
             return False
-        self.ready = True
         found = counted(able, self.majority)
+        newest = max((each.held for each in able.values()), key=lambda held: held.version)
+        if newest.step and (found is None or found.version < newest.version):
+            return False  # it may count, and the process before this one may have taken it: its owner will say
+        self.ready = True
         return found is not None and self.admit(found)
 
     def admit(self, held: Held) -> bool:
--- a/stepknot/ownership/owner.py
+++ b/stepknot/ownership/owner.py
@@ -151,7 +151,7 @@
     def receive(self, now: float, voter: str, message: Any) -> None:
         """From a voter, of this job."""
         if voter in self.settings.voters and (answer := self.answers.get(type(message))) is not None:
-            answer(self, now, voter, message)
+            getattr(self, answer)(now, voter, message)
 
     def on_granted(self, now: float, voter: str, grant: m.Granted) -> None:
         if grant.epoch != self.epoch or self.phase is Phase.IDLE:  # given up meanwhile: it need not hold it
@@ -217,8 +217,8 @@
             self.news.append("committed")
             self.renew_at = min(self.renew_at, now)  # voters hear that it counts
 
-    answers: dict[type, Any] = {m.Granted: on_granted, m.Refused: on_refused, m.Renewed: on_renewed,
-                                m.Written: on_written}
+    answers: dict[type, str] = {m.Granted: "on_granted", m.Refused: "on_refused", m.Renewed: "on_renewed",
+                                m.Written: "on_written"}
 
     def send(self, message: m.Message, voters: tuple[str, ...]) -> None:
         self.out += [(voter, message) for voter in voters]
--- a/stepknot/ownership/voter.py
+++ b/stepknot/ownership/voter.py
@@ -69,7 +69,7 @@
         answer = self.answers.get(type(message))
         if answer is None or self.broken or self.way is not None and type(message) not in self.with_no_memory:
             return None
-        found: m.Message | None = answer(self, now, who, message)
+        found: m.Message | None = getattr(self, answer)(now, who, message)
         return found
 
     # --- votes
@@ -178,9 +178,9 @@
         if told.held.version > job.held.version:
             job.held = told.held
 
-    answers: dict[type, Any] = {m.Claim: on_claim, m.Renew: on_renew, m.Write: on_write, m.Yield: on_yield,
-                               m.Ask: on_ask, m.AskLife: on_ask_life, m.Recall: on_recall, m.TellLife: on_tell_life,
-                               m.Recalled: on_recalled}
+    answers: dict[type, str] = {
+        m.Claim: "on_claim", m.Renew: "on_renew", m.Write: "on_write", m.Yield: "on_yield", m.Ask: "on_ask",
+        m.AskLife: "on_ask_life", m.Recall: "on_recall", m.TellLife: "on_tell_life", m.Recalled: "on_recalled"}
     with_no_memory = (m.TellLife, m.Recalled)
 
 
