--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -25,6 +25,8 @@
 PROCESS, RARE = "tests/platform/test_service.py", "tests/platform/test_hard_cases.py"
 FAILURES = "tests/test_failures.py"
 PEERS, FUZZED = "tests/peers/test_model.py", "tests/peers/test_decisions.py"
+OWNED, OWNMODEL = "tests/ownership/test_decisions.py", "tests/ownership/test_model.py"
+OWNERS = "tests/ownership/test_processes.py"
 SIGTERM = f"{PROCESS}::test_sigterm_serves_what_still_comes_finishes_what_is_in_work_and_exits_with_0"
 Row = tuple[str, str, str, str]
 ROWS: list[Row] = [
@@ -262,6 +264,38 @@
      f"{FAILURES}::test_a_pause_is_not_taken_for_deafness"),
     ("logic.py", "self.send_again(query, part, STILL_SHARE)", "pass",
      f"{FAILURES}::test_a_server_that_stands_still_is_chosen_last_and_what_is_out_there_is_copied"),
+    ("ownership/fence.py", "held.version <= self.newest.version:", "held.version < self.newest.version:",
+     f"{OWNED}::test_a_fence_takes_nothing_before_a_majority_told_and_nothing_older_after"),
+    ("ownership/fence.py", "if len(able) < self.majority:", "if not able:",
+     f"{OWNED}::test_a_fence_takes_nothing_before_a_majority_told_and_nothing_older_after"),
+    ("ownership/fence.py", "if newest.step and (", "if False and (",
+     f"{OWNED}::test_a_fence_waits_where_the_newest_may_or_may_not_count"),
+    ("ownership/quorum.py", "if reply.life >= newest.get(voter, 0)", "if True",
+     f"{OWNED}::test_an_answer_from_before_a_memory_was_lost_does_not_count"),
+    ("ownership/voter.py", "if len(way.done) > len(self.others) // 2:", "if way.done:",
+     f"{OWNED}::test_a_voter_that_lost_its_memory_is_silent_until_most_others_told_it"),
+    ("ownership/voter.py", "None, True\n            self.votes_from = now + self.settings.hold",
+     "None, True\n            self.votes_from = now",
+     f"{OWNED}::test_a_voter_that_lost_its_memory_is_silent_until_most_others_told_it"),
+    ("ownership/voter.py", "if job is None and len(self.jobs) >= m.MOST_JOBS:", "if False:",
+     f"{OWNED}::test_a_voter_takes_no_more_jobs_than_the_bound_and_says_so"),
+    ("ownership/owner.py", "if self.bypassed and self.pending is None", "if False and self.pending is None",
+     f"{OWNMODEL}::test_a_minority_of_voters_costs_nothing"),
+    ("ownership/node.py", "if len(self.orders) >= ORDERS:", "if False:",
+     f"{OWNED}::test_orders_are_bounded_and_end_in_time"),
+    ("ownership/drains.py", "len(state.out) >= drain.at_most or not left", "not left",
+     f"{OWNED}::test_no_more_are_out_than_asked_each_goes_once_and_the_end_is_reached"),
+    ("ownership/drains.py", "if number in state.orders:", "if False:",
+     f"{OWNED}::test_an_order_said_twice_is_taken_once"),
+    ("broker/voterstore.py", "if digest(version, body) != data[head:head + DIGEST]:", "if False:",
+     f"{OWNED}::test_a_state_that_is_cut_or_flipped_at_any_byte_is_a_lost_memory_and_is_put_aside"),
+    ("broker/voterstore.py", "for path in (self.path, self.path.with_suffix(\".damaged\")):",
+     "for path in (self.path,):",
+     f"{OWNED}::test_a_voter_begins_once"),
+    ("discovery/drained.py", "self.entries.pop(entry.server, None)", "pass",
+     f"{OWNED}::test_the_ledgers_drains_lie_over_the_list_and_what_it_says_gone_stays_gone"),
+    ("ownership/node.py", "to or (line[0] if line else None)", "to",
+     f"{OWNERS}::test_an_owner_that_stops_at_sigterm_hands_over_at_once"),
     ("peers/members.py", "asked |= dict.fromkeys(self.watchers_of(names, others)[:count // 2])", "pass",
      f"{FUZZED}::test_those_that_watch_the_silent_one_are_asked_first"),
     ("peers/members.py", "lacking.append(word.identity)", "pass",
--- a/stepknot/broker/voterstore.py
+++ b/stepknot/broker/voterstore.py
@@ -37,7 +37,11 @@
 
 def pack(saved: Saved) -> bytes:
     body = encoder.encode(saved)
-    return MAGIC + VERSION + blake2b(body, digest_size=DIGEST).digest() + body
+    return MAGIC + VERSION + digest(VERSION, body) + body
+
+
+def digest(version: bytes, body: bytes) -> bytes:
+    return blake2b(version + body, digest_size=DIGEST).digest()
 
 
 def unpack(data: bytes) -> Saved:
@@ -45,14 +49,11 @@
     head = len(MAGIC) + len(VERSION)
     if not data.startswith(MAGIC) or len(data) < head + DIGEST:
         raise Damaged(f"{len(data)} bytes that do not begin as a voter's state does")
-    digest, body = data[head:head + DIGEST], data[head + DIGEST:]
-    whole = blake2b(body, digest_size=DIGEST).digest() == digest
-    if data[len(MAGIC):head] != VERSION:
-        if whole:
-            raise Unfit(f"written by another version, {data[len(MAGIC):head]!r}; this one reads {VERSION!r}")
-        raise Damaged("its version and its checksum are wrong")
-    if not whole:
+    version, body = data[len(MAGIC):head], data[head + DIGEST:]
+    if digest(version, body) != data[head:head + DIGEST]:
         raise Damaged("its checksum is wrong")
+    if version != VERSION:
+        raise Unfit(f"written by another version, {version!r}; this one reads {VERSION!r}")
     try:
         return decoder.decode(body)
     except msgspec.DecodeError as error:
--- a/stepknot/ownership/node.py
+++ b/stepknot/ownership/node.py
@@ -83,12 +83,7 @@
     def tick(self, now: float, members: list[str]) -> None:
         """`members`: all that are held alive, this one among them."""
         self.members = members
-        if not self.started:
-            self.started = True
-            for view in self.jobs.values():
-                view.free_since = now  # an owner has a lease's time to be heard
-            if self.voter is not None:
-                self.voter.start(now)
+        self.begin(now)
         if self.voter is not None:
             for to, message in self.voter.tick(now):
                 self.send(to, message)
@@ -96,8 +91,17 @@
             self.work(now, name, view)
         self.ask_orders(now)
 
+    def begin(self, now: float) -> None:
+        if not self.started:
+            self.started = True
+            for view in self.jobs.values():
+                view.free_since = now  # an owner has a lease's time to be heard
+            if self.voter is not None:
+                self.voter.start(now)
+
     def receive(self, now: float, data: bytes) -> None:
         """A datagram. What cannot be used is counted by its reason and forgotten."""
+        self.begin(now)
         try:
             envelope = m.decode(data, self.settings.fleet)
         except m.Unusable as error:
--- a/stepknot/ownership/owner.py
+++ b/stepknot/ownership/owner.py
@@ -45,6 +45,7 @@
         self.epoch = self.known_epoch = 0
         self.released = 0  # the epoch that was handed over to us
         self.grants: dict[str, m.Granted] = {}
+        self.bypassed = False  # a voter that would grant a later epoch cannot grant this one
         self.refusals: dict[str, m.Refused] = {}  # of this claim
         self.base = m.Held()  # what the ledger said when this epoch began
         self.claimed_at = self.until = self.next_claim = self.resend_at = self.renew_at = -math.inf
@@ -85,6 +86,7 @@
     def claim(self, now: float, released: int = 0) -> None:
         self.known_epoch = max(self.known_epoch, self.epoch) + 1
         self.epoch, self.released = self.known_epoch, released
+        self.bypassed = False
         self.phase, self.claimed_at, self.resend_at = Phase.CLAIMING, now, now + REPEAT * self.settings.lease
         self.grants, self.refusals, self.numbers, self.pending, self.committed, self.step = {}, {}, {}, None, None, 0
         self.send(m.Claim(self.job, self.epoch, released), self.settings.voters)
@@ -135,6 +137,9 @@
     def renew(self, now: float) -> None:
         if now < self.renew_at:
             return
+        if self.bypassed and self.pending is None and self.committed is not None:
+            self.claim(now)  # its leases are this process's own: all voters grant it at once, and each counts then
+            return
         self.renew_at = now + self.settings.renew
         self.number += 1
         self.numbers[self.number] = now, {}
@@ -188,6 +193,8 @@
 
     def on_refused(self, now: float, voter: str, refused: m.Refused) -> None:
         self.known_epoch = max(self.known_epoch, refused.promised)
+        if self.phase is Phase.OWNING and voter not in self.grants and refused.epoch == self.epoch:
+            self.bypassed |= refused.promised >= self.epoch and refused.wait <= 1
         if refused.epoch != self.epoch or self.phase is not Phase.CLAIMING:
             return
         self.refusals[voter] = refused
