--- a/stepknot/lab/ownership_check.py
+++ b/stepknot/lab/ownership_check.py
@@ -340,6 +340,10 @@
     breach: str = ""
     trail: list[Action] = field(default_factory=list)
 
+    def note(self, scope: Scope, parts: Parts | None, trail: list[Action], breach: Breach) -> None:
+        self.trail = shrunk(scope, parts, trail)
+        self.breach = replay(scope, parts, self.trail) or str(breach)
+
 
 def explore(scope: Scope, parts: Parts | None = None, most: int = 20_000) -> Result:
     """Breadth first, until `most` worlds were seen."""
@@ -409,8 +413,7 @@
             try:
                 world.do(action)
             except Breach as breach:
-                result.trail = shrunk(scope, parts, trail)
-                result.breach = replay(scope, parts, result.trail) or str(breach)
+                result.note(scope, parts, trail, breach)
                 return result
     return result
 
@@ -449,8 +452,7 @@
                 late = [each for each in world.actions() if each[0] == "deliver" and each not in gone]
                 gone.update(each for each in late if chance.random() < 0.5)
         except Breach as breach:
-            result.trail = shrunk(scope, parts, trail)
-            result.breach = replay(scope, parts, result.trail) or str(breach)
+            result.note(scope, parts, trail, breach)
         result.states += len(trail)
         if result.breach:
             return result
--- a/stepknot/ownership/model.py
+++ b/stepknot/ownership/model.py
@@ -10,8 +10,9 @@
 
 import msgspec
 
+from stepknot.peers.wire import opened
+
 VERSION = 1
-MOST_BYTES = 1200  # of a datagram
 MOST_VALUE = 900  # bytes of a job's record
 MOST_JOBS = 64
 MOST_EPOCH = 2**50
@@ -225,10 +226,6 @@
     jobs: list[JobRecord]
 
 
-class Unusable(Exception):
-    """A datagram that is none of ours; its text is the reason it is counted under."""
-
-
 encoder = msgspec.msgpack.Encoder()
 decoder = msgspec.msgpack.Decoder(Envelope)
 MARK = encoder.encode([None] * 5)[:1]  # how a datagram of ownership begins
@@ -240,14 +237,4 @@
 
 def decode(data: bytes, fleet: str) -> Envelope:
     """Raises Unusable."""
-    if len(data) > MOST_BYTES:
-        raise Unusable("too long")
-    try:
-        found = decoder.decode(data)
-    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError):
-        raise Unusable("malformed") from None
-    if found.version != VERSION:
-        raise Unusable("another version")
-    if found.fleet != fleet:
-        raise Unusable("another fleet")
-    return found
+    return opened(decoder, VERSION, data, fleet)
--- a/stepknot/ownership/node.py
+++ b/stepknot/ownership/node.py
@@ -18,6 +18,7 @@
 from stepknot.ownership.owner import Owner, Phase
 from stepknot.ownership.place import order
 from stepknot.ownership.voter import Voter
+from stepknot.peers.wire import Unusable
 
 TURN = 0.5  # of a lease, that each next in line waits longer before it claims
 ASK_EVERY = 2.0  # leases between two questions to the voters, once a majority answered
@@ -104,7 +105,7 @@
         self.begin(now)
         try:
             envelope = m.decode(data, self.settings.fleet)
-        except m.Unusable as error:
+        except Unusable as error:
             self.counters[f"dropped: {error}"] += 1
             return
         self.hear(now, (envelope.sender, envelope.birth), envelope.message)
--- a/stepknot/peers/wire.py
+++ b/stepknot/peers/wire.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from typing import Annotated
+from typing import Annotated, Protocol, TypeVar
 
 import msgspec
 
@@ -118,7 +118,20 @@
     return encoder.encode(Envelope(VERSION, fleet, sender, message))
 
 
-def decode(data: bytes, fleet: str) -> Envelope:
+class Enveloped(Protocol):
+    """What comes on this socket, of whatever kind."""
+
+    @property
+    def version(self) -> int: ...
+
+    @property
+    def fleet(self) -> str: ...
+
+
+Kind = TypeVar("Kind", bound=Enveloped)
+
+
+def opened(decoder: msgspec.msgpack.Decoder[Kind], version: int, data: bytes, fleet: str) -> Kind:
     """Raises Unusable."""
     if len(data) > MOST_BYTES:
         raise Unusable("too long")
@@ -126,8 +139,13 @@
         found = decoder.decode(data)
     except (msgspec.DecodeError, RecursionError, UnicodeDecodeError):
         raise Unusable("malformed") from None
-    if found.version != VERSION:
+    if found.version != version:
         raise Unusable("another version")
     if found.fleet != fleet:
         raise Unusable("another fleet")
     return found
+
+
+def decode(data: bytes, fleet: str) -> Envelope:
+    """Raises Unusable."""
+    return opened(decoder, VERSION, data, fleet)
--- a/tests/ownership/test_decisions.py
+++ b/tests/ownership/test_decisions.py
@@ -29,6 +29,7 @@
 from stepknot.ownership.place import order
 from stepknot.ownership.quorum import sound
 from stepknot.ownership.voter import Voter
+from stepknot.peers.wire import MOST_BYTES
 
 SETTINGS = m.OwnerSettings(("A", "B", "C"))
 SAVED = m.Saved("stepknot", "A", 3, {"A": 3, "B": 1, "C": 2}, [m.JobRecord("drains", 7, "b1", 5, m.Held(6, 2, b"xyz"))])
@@ -249,7 +250,7 @@
                 m.Answered(job, "n", "no")])
             found.receive(now, m.encode("stepknot", (chance.choice("ABCxy"), chance.randrange(3)), message))
             found.tick(now, ["A", "B", "x"])
-            assert all(len(data) <= m.MOST_BYTES for _, data, _ in found.take()[0])
+            assert all(len(data) <= MOST_BYTES for _, data, _ in found.take()[0])
 
 
 def test_orders_are_bounded_and_end_in_time() -> None:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -6,7 +6,7 @@
 ROOT = Path(__file__).parent.parent / "stepknot"
 # From the top. A package imports from those below it only; the laboratory imports all but the command line.
 ORDER = ["cli", "lab", "platform", "fronts", "broker", "discovery", "boxes", "search", "config", "net",
-         "admission", "zones", "peers", "ownership", "library"]
+         "admission", "zones", "ownership", "peers", "library"]
 LIBRARY = {"logic", "records", "interface", "benchlink", "__init__"}
 
 
