--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -46,3 +46,16 @@
             if isinstance(node, ast.ImportFrom):
                 assert layer(node.module or "") == "library" or not (node.module or "").startswith("stepknot")
                 assert (node.module or "").partition(".")[0] not in ("orjson", "httptools", "click", "hcl2", "mmh3")
+
+
+def test_decisions_of_subsystems_have_no_io_no_clock_and_no_chance_of_their_own() -> None:
+    """Steps of the wall's clock, a slow disk or a full socket cannot reach what is not imported."""
+    found = []
+    for package in ("ownership", "peers", "zones"):
+        for path in (ROOT / package).glob("*.py"):
+            for node in ast.walk(ast.parse(path.read_text())):
+                names = [node.module or ""] if isinstance(node, ast.ImportFrom) else [
+                    each.name for each in node.names] if isinstance(node, ast.Import) else []
+                found += [f"{package}/{path.name} imports {name}" for name in names if name.partition(".")[0] in (
+                    "time", "datetime", "os", "socket", "select", "threading", "subprocess", "pathlib", "secrets")]
+    assert not found
