An order said again, stopped or undone no longer shortens the pause between a drain's steps

Cause, seen on reading (owning.py, order_drains): each order, also one asked twice for a lost answer, made the next step due at once, so a box came back before its time. Only an order that begins a drain does now; the decision stands in drains.py with its test.

--- a/stepknot/broker/owning.py
+++ b/stepknot/broker/owning.py
@@ -184,12 +184,15 @@
         return drains.pack(after)
 
     def order_drains(self, value: bytes, number: str, body: bytes) -> bytes:
+        before = drains.read(value)
         try:
-            after = drains.pack(drains.ordered(drains.read(value), number, body, self.boxes()))
+            after = drains.ordered(before, number, body, self.boxes())
+            packed = drains.pack(after)
         except drains.Refused as error:
             raise ValueError(str(error)) from None
-        self.next_step = min(self.next_step, self.loop.clock() + self.settings.renew)
-        return after
+        if drains.begins(before, after):
+            self.next_step = self.loop.clock() + self.settings.renew
+        return packed
 
     def apply_drains(self, held: Held) -> None:
         try:
--- a/stepknot/ownership/drains.py
+++ b/stepknot/ownership/drains.py
@@ -147,6 +147,11 @@
     return change(state, out=[*state.out, left[0]], cursor=left[0], steps=state.steps + 1)
 
 
+def begins(before: State, after: State) -> bool:
+    """Whether an order has begun a drain: its first step need not wait. No other order shortens a box's time."""
+    return after.status == "running" and (before.drain is not after.drain) and not after.out
+
+
 def pause_after(state: State) -> float:
     """Seconds until the next step."""
     return state.drain.every if state.drain is not None else 1.0
--- a/tests/ownership/test_decisions.py
+++ b/tests/ownership/test_decisions.py
@@ -311,6 +311,15 @@
         ordered(first, "2", drain={"zone": "b"})
 
 
+def test_only_an_order_that_begins_a_drain_makes_its_first_step_due() -> None:
+    begun = ordered(drains.State(), "1", drain={"zone": "a"})
+    assert drains.begins(drains.State(), begun)
+    assert not drains.begins(begun, ordered(begun, "1", drain={"zone": "a"}))  # said again
+    stopped = ordered(begun, "2", stop=True)
+    assert not drains.begins(begun, stopped) and not drains.begins(stopped, ordered(stopped, "3", go_on=True))
+    assert not drains.begins(begun, ordered(begun, "2", undo=True))
+
+
 @pytest.mark.parametrize(("word", "reason"), [
     ({"drain": {"zone": "c"}}, "no box in zone c; zones: a, b"), ({"undo": True}, "no drain runs"),
     ({"drain": {"zone": "a", "at_most": 0}}, "not understood"),
