What may not begin any more is taken back before it is on the wire

Ruled out: the module's own check (the choice was in time), a late answer taken for a new one (ids differ by connection).

Change, in the shared way of an attempt to the wire: Send says until when it may be written (not_after) and its number; nodes.py and the pool look at it before each write, a half-written frame past it ends its connection before the last byte. By the same means: calls that wait unsent for a node that drains end as not connected (they were written whenever the socket took them, also beyond the grace); a client that left takes its unsent calls along, also where nothing may be cancelled; half a call that nobody waits for is cut off, not finished; parts that share a call are put into bytes when it goes. A retry decided in the very turn in which the client left was ended under the number of the first attempt, and its server counted one more out for good.

Tests force each crossing on sockets that take nothing.

--- a/stepknot/boxes/pool.py
+++ b/stepknot/boxes/pool.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -29,10 +30,11 @@
 class Exchange:
     """One call on its way. `on_end` is called once: with a reply's parser, or None and how it ended."""
 
-    data: bytes
+    data: bytes | Callable[[], bytes]  # made, where it is, once the connection is up: as late as can be
     on_end: Callable[[ClientParser | None, Outcome, str], None]
     link: Link | None = None
     ended: bool = False
+    not_after: float = math.inf  # by the loop's clock: not begun by then, it is not sent
 
     def end(self, parser: ClientParser | None, outcome: Outcome, reason: str = "") -> None:
         if not self.ended:
@@ -55,6 +57,7 @@
     port: int
     idle: deque[tuple[Link, float]] = field(default_factory=deque)  # and since when; the freshest is used first
     open: int = 0
+    coming: set[Exchange] = field(default_factory=set)  # those whose connection is not up yet
 
     @property
     def name(self) -> str:
@@ -99,17 +102,22 @@
                 box.open += 1
                 self.open += 1
                 self.opened += 1
+                box.coming.add(exchange)
                 try:
                     link = yield from self.loop.connect(box.host, box.port, self.connect_timeout)
                 except BaseException:
                     box.open -= 1
                     self.open -= 1
                     raise
+                finally:
+                    box.coming.discard(exchange)
+            if exchange.not_after <= self.loop.clock():
+                exchange.end(None, Outcome.NOT_CONNECTED, "its time is over")
             if exchange.ended:
                 keep = True
                 return
             exchange.link = link
-            yield from link.send(exchange.data)
+            yield from link.send(exchange.data if isinstance(exchange.data, bytes) else exchange.data())
             handed_over = True
             while not parser.done:
                 data = yield from link.recv(CHUNK)
@@ -180,6 +188,12 @@
         self.drop(box, box.idle.popleft()[0])
         return True
 
+    def withdraw(self, address: str) -> None:
+        """Nothing new may go there: calls whose connection is not up end unsent."""
+        box = self.boxes.get(address)
+        for exchange in list(box.coming) if box is not None else []:
+            exchange.end(None, Outcome.NOT_CONNECTED, "it takes nothing new")
+
     def close_idle(self, address: str) -> None:
         box = self.boxes.get(address)
         while box is not None and box.idle:
--- a/stepknot/boxes/rest.py
+++ b/stepknot/boxes/rest.py
@@ -40,12 +40,18 @@
             for parcel in group:
                 parcel.ride = call
             name = group[0].name
-            data = self.codec.encode([each.request for each in group], self.pool.box(server).name, name)
-            call.exchange = Exchange(data, partial(self.on_end, call))
+            call.exchange = Exchange(partial(self.encode, server, call), partial(self.on_end, call),
+                                     not_after=min(each.not_after for each in group))
             self.on_event("call_sent", box=server, query=name, parts=len(group))
             self.pool.start(server, call.exchange)
         return len(groups)
 
+    def encode(self, server: str, call: Call) -> bytes:
+        """A call goes without the parts that were given up while its connection came up."""
+        call.parcels = [each for each in call.parcels if each.ride is call]
+        return self.codec.encode([each.request for each in call.parcels], self.pool.box(server).name,
+                                 call.parcels[0].name)
+
     def on_end(self, call: Call, parser: ClientParser | None, outcome: Outcome, reason: str) -> None:
         """A call ended: each parcel for which somebody still waits ends with its own outcome."""
         load: Load = {}
@@ -73,6 +79,13 @@
                 call.exchange.abandon()  # nobody waits: the box sees it, and may drop the work
                 call.exchange, call.parcels = None, []
 
+    def unsent(self, parcel: Parcel) -> bool:
+        call = parcel.ride
+        return call is None or call.exchange is not None and call.exchange.link is None
+
+    def withdraw(self, server: str) -> None:
+        self.pool.withdraw(server)
+
     def probe(self, server: str, on_end: Callable[[Outcome, Load], None]) -> None:
         def end(parser: ClientParser | None, outcome: Outcome, reason: str) -> None:
             timer.cancel()
@@ -83,7 +96,7 @@
                 exchange.abandon()
                 end(None, Outcome.TIMED_OUT, "")
 
-        exchange = Exchange(self.codec.encode_probe(self.pool.box(server).name), end)
+        exchange = Exchange(lambda: self.codec.encode_probe(self.pool.box(server).name), end)
         timer = self.loop.call_later(self.pool.connect_timeout, expire)
         self.pool.start(server, exchange)
 
--- a/stepknot/boxes/side.py
+++ b/stepknot/boxes/side.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Protocol
@@ -20,6 +21,7 @@
     name: str  # of its query, in logs and at boxes
     wait: float  # seconds for which somebody waits
     ride: Any = None  # what it travels in: the side's own
+    not_after: float = math.inf  # by the loop's clock: not written whole by then, it is never written
 
 
 OnReply = Callable[[Any, PartReply, Load], None]
@@ -36,6 +38,12 @@
     def give_up(self, parcel: Any) -> None:
         """Nobody waits for it any more."""
 
+    def unsent(self, parcel: Any) -> bool:
+        """Whether no byte of it was handed to the kernel yet."""
+
+    def withdraw(self, server: str) -> None:
+        """Nothing new may go there: what is not on the wire yet ends as not connected."""
+
     def probe(self, server: str, on_end: Callable[[Outcome, Load], None]) -> None:
         """Ask for the load alone; `on_end` is called once."""
 
--- a/stepknot/broker/core.py
+++ b/stepknot/broker/core.py
@@ -189,6 +189,8 @@
 
     def take_list(self, event: api.ListReceived) -> None:
         if event.kind is api.ListKind.FULL:
+            for server in self.servers.keys() - {entry.server for entry in event.entries}:
+                self.boxes.withdraw(server)
             self.servers = {}
         for entry in event.entries:
             if entry.state is api.ServerState.GONE:
@@ -196,6 +198,8 @@
                 self.boxes.close_idle(entry.server)
             else:
                 self.servers[entry.server] = entry
+            if entry.state is not api.ServerState.LIVE:
+                self.boxes.withdraw(entry.server)
             self.on_event("box_listed", box=entry.server, state=entry.state.value, zone=entry.zone, cell=entry.cell)
         if self.zones is not None:
             self.zones.take_list(self.loop.now, self.servers.values())
@@ -270,11 +274,11 @@
 
     def prepare(self, action: api.Send, sends: dict[str, list[Attempt]]) -> None:
         if action.part_id not in self.pieces:  # its client went in this very turn
-            self.post(api.AttemptEnded(action.part_id, 0, action.server, api.Outcome.NOT_SENT, 0.0))
+            self.post(api.AttemptEnded(action.part_id, action.attempt, action.server, api.Outcome.NOT_SENT, 0.0))
             return
         ask, piece = self.pieces[action.part_id]
-        attempt = Attempt(piece.request, ask.name, action.timeout, piece=piece, ask=ask, number=piece.attempts,
-                          server=action.server, sent=self.loop.now)
+        attempt = Attempt(piece.request, ask.name, action.timeout, not_after=action.not_after, piece=piece, ask=ask,
+                          number=action.attempt, server=action.server, sent=self.loop.now)
         piece.attempts += 1
         piece.reason = "no answer in time"
         self.counts["attempts"] += 1
@@ -364,6 +368,11 @@
         del self.held[ask.query_id]
         for piece in (*ask.first, *ask.fetch):
             self.pieces.pop(piece.part_id, None)
+            # Where it is over nothing begins any more, also what waits for a connection and what may not be cancelled.
+            for number in range(piece.attempts):
+                attempt = self.out.get((piece.part_id, number))
+                if attempt is not None and self.boxes.unsent(attempt):
+                    self.end_attempt(attempt, api.Outcome.NOT_SENT, {})
         ending = result.status.value if result is not None else "gone"
         self.counts[ending] += 1
         self.class_counts[ask.class_name, ending] += 1
--- a/stepknot/interface.py
+++ b/stepknot/interface.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -198,11 +199,14 @@
 
 @dataclass(slots=True)
 class Send:
-    """Start an attempt; sends to one server in one call of `handle` may travel as one call."""
+    """Start an attempt; sends to one server in one call of `handle` may travel as one call. What is not
+    written whole by `not_after` is never written: it ends as not connected."""
 
     part_id: int
     server: str
     timeout: float
+    attempt: int = 0  # its number
+    not_after: float = math.inf
 
 
 @dataclass(slots=True)
--- a/stepknot/logic.py
+++ b/stepknot/logic.py
@@ -57,7 +57,9 @@
 # A server is deaf to a class of which it loses so much more than twice the share of another class.
 DEAF_SHARE, CLASS_WEIGHT = 0.3, 0.1
 GUARD_TICKS = 4  # a final answer is given this many ticks before the client's time is up
-WATCH_RETRY = 0.25  # share of the ask-within rule after which a broken subscription is asked for again
+# A broken subscription is asked for again after this share of the ask-within rule, or after so many seconds:
+# with what the caller takes to see that it is broken and to open another, a change is told in time.
+WATCH_RETRY, RETRY_MOST = 0.25, 0.5
 OUTAGE = 1  # lost parts for each server, with none served anywhere, that are taken for an outage of all
 EPSILON = 1e-6  # weights add up to 1 but for rounding
 
@@ -139,8 +141,8 @@
     def on_list(self, event: ListReceived) -> None:
         if event.kind is ListKind.FAILED:
             # Discovery is in trouble: ask again soon, well within the rule, and not all instances at once.
-            delay = self.settings.rules.ask_within * WATCH_RETRY * self.random.uniform(0.5, 1.0)
-            self.set_timer(self.now + delay, self.watch)
+            pause = min((self.settings.rules.ask_within or math.inf) * WATCH_RETRY, RETRY_MOST)
+            self.set_timer(self.now + pause * self.random.uniform(0.5, 1.0), self.watch)
             return
         if event.kind is not ListKind.CHANGES:
             named = {entry.server for entry in event.entries}
@@ -486,9 +488,13 @@
         return Attempt(capsule, call, part, query, out, self.now, wait)
 
     def send(self, attempt: Attempt) -> None:
-        part, capsule = attempt.part, attempt.capsule
+        part, capsule, kind = attempt.part, attempt.capsule, attempt.query.kind
         key = (part.part_id, len(part.tried))
         self.attempts[key] = attempt
+        # A connection may come up late, or take nothing: the window may close before the part is on the wire.
+        began, not_after = part.may_run_since, math.inf
+        if kind.effect is Effect.KEYED and began is not None:
+            not_after = began + kind.repeat_window
         part.tried.append(capsule.entry.server)
         part.out += 1
         if part.may_run_since is None:
@@ -498,7 +504,7 @@
             self.actions.append(Close(capsule.entry.server))
         capsule.used, capsule.silent_since = self.now, min(capsule.silent_since, self.now)
         self.watch_silence(capsule, self.now)
-        self.actions.append(Send(part.part_id, capsule.entry.server, attempt.wait))
+        self.actions.append(Send(part.part_id, capsule.entry.server, attempt.wait, key[1], not_after))
         overdue = OVERDUE * self.measure(capsule)[0]
         if overdue < attempt.wait:
             self.set_timer(self.now + overdue, partial(self.on_overdue, key))
--- a/stepknot/platform/nodes.py
+++ b/stepknot/platform/nodes.py
@@ -6,6 +6,8 @@
 - A call's frame is written when the connection is up and the kernel takes it. Parts whose frame was not taken to its
   last byte never ran; after that, a connection that ends may have left any of its parts to run.
 - After bytes that no node would say, a connection is closed: what is out on it may have run.
+- Nothing begins that may not begin any more: a part given up, one past its `not_after`, or one whose node drains is
+  taken off its frame while none of that was written; where some was, the connection ends before the last byte is.
 - A connection that is idle is closed before the node would close it.
 - A connection is doubted once something was asked on it and nothing at all came back for as long as a new one may take
   to come up: a connection can fall silent while its node serves on others. Nothing new goes there until it speaks, and
@@ -186,20 +188,58 @@
         if ride is None:
             return
         conn, frame, part = ride.conn, ride.frame, parcel.request.part
-        conn.waiting.pop(part, None)
-        if not conn.waiting and not conn.probes and not self.doubted(conn):
-            conn.silent_since = math.inf  # called off before its silence told anything
-        if not frame.sent:  # it is written without this part, or not at all
-            frame.data = b""  # where it was in bytes already, and the kernel took none
-            frame.parcels.remove(parcel)
-            if not frame.parcels:
-                conn.queue.remove(frame)
+        self.expect_no_more(conn, part)
+        if not frame.sent:
+            self.take_off(conn, frame, parcel)
+            return
+        if not frame.taken and not any(each.ride for each in frame.parcels):
+            self.end(conn, "half a call that nobody waits for")  # its last byte would begin it
             return
         conn.given_up[part] = None
         if len(conn.given_up) > MOST_GIVEN_UP:
             del conn.given_up[next(iter(conn.given_up))]
         self.put(conn, Frame([], self.loop.now, frames.give_up(part)))
 
+    def expect_no_more(self, conn: Connection, part: bytes) -> None:
+        conn.waiting.pop(part, None)
+        if not conn.waiting and not conn.probes and not self.doubted(conn):
+            conn.silent_since = math.inf  # called off before its silence told anything
+
+    def take_off(self, conn: Connection, frame: Frame, parcel: Parcel) -> None:
+        """The frame is written without this part, or not at all; the kernel took none of it yet."""
+        frame.data = b""  # where it was in bytes already
+        frame.parcels.remove(parcel)
+        if not frame.parcels:
+            conn.queue.remove(frame)
+
+    def unsent(self, parcel: Parcel) -> bool:
+        return parcel.ride is None or not parcel.ride.frame.sent
+
+    def withdraw(self, server: str) -> None:
+        node = self.nodes.get(server)
+        for conn in list(node.connections) if node is not None else []:
+            for frame in list(conn.queue):
+                for parcel in list(frame.parcels):
+                    self.call_back(conn, frame, parcel, "its node takes nothing new")
+
+    def call_back(self, conn: Connection, frame: Frame, parcel: Parcel, why: str) -> None:
+        """It is not written any more, where none of its frame was."""
+        if parcel.ride is not None and not frame.sent:
+            self.take_off(conn, frame, parcel)
+            self.expect_no_more(conn, parcel.request.part)
+            parcel.ride = None
+            self.on_reply(parcel, PartReply(Outcome.NOT_CONNECTED, reason=why), {})
+
+    def call_back_late(self, conn: Connection) -> None:
+        """Before anything is written: what may not be any more."""
+        now = self.loop.clock()
+        for frame in list(conn.queue):
+            for parcel in [each for each in frame.parcels if each.not_after <= now]:
+                if frame.sent:
+                    self.end(conn, "half a call whose time is over")
+                    return
+                self.call_back(conn, frame, parcel, "its time is over")
+
     # --- probes
 
     def probe(self, server: str, on_end: OnProbe) -> None:
@@ -340,6 +380,9 @@
         link, now = conn.link, self.loop.now
         if link is None or link.closed:
             return
+        self.call_back_late(conn)
+        if conn.ended or not conn.queue:
+            return
         conn.since = now
         if conn.waiting or conn.probes:
             conn.silent_since = min(conn.silent_since, now)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from collections.abc import Iterable
 from typing import Any
@@ -252,6 +253,7 @@
         kind, deadline = self.kinds[query_id]
         assert query_id not in self.finals and action.part_id not in self.over, "sent after its end"
         tries = self.attempts[action.part_id]
+        assert action.attempt == len(tries), "attempts are numbered in the order of their sends"
         if tries:
             self.extras.append(self.now)
             if not self.settings.limits.second_copies:
@@ -261,6 +263,8 @@
             if kind.effect is Effect.KEYED:
                 ran = [sent for _, sent, end in tries if end is None or not end.never_ran]
                 assert not ran or self.now <= ran[0] + kind.repeat_window, "a keyed part after its window"
+                latest = min((sent for _, sent, end in tries if end is None or not end.never_ran), default=math.inf)
+                assert action.not_after <= latest + kind.repeat_window, "it may reach the wire after its window"
             assert len(tries) < self.settings.limits.max_attempts
             window = self.settings.rules.extra_window
             if window:
--- a/tests/platform/test_hard_cases.py
+++ b/tests/platform/test_hard_cases.py
@@ -8,9 +8,10 @@
 import time
 from pathlib import Path
 
+from stepknot.boxes.codec import PartReply
 from stepknot.interface import Outcome
 from tests.broker.scripted import WAIT, until
-from tests.platform.test_nodes import connections, hold, outcomes
+from tests.platform.test_nodes import connections, hold, move, outcomes
 from tests.platform.test_service import started
 from tests.platform.world import Call, world
 
@@ -113,3 +114,44 @@
         (ask,) = found.call(lambda: list(found.service.core.held.values()))
         assert ask.deadline - ask.arrived <= 0.39 + 1e-9  # two clock readings, rounded
         assert client.read().status == 503
+
+
+def test_a_retry_decided_in_the_turn_in_which_the_client_left_leaves_nothing_out() -> None:
+    """The module heard of the failure before it heard of the leave: its second attempt was ended under the first's
+    number, and counted out at its server for good."""
+    with world(nodes=4) as found:
+        core, module = found.service.core, found.service.core.module
+        for node in found.nodes:
+            node.script = hold
+        client = found.client()
+        client.sock.sendall(found.request())
+        until(lambda: core.out)
+
+        def fail_and_leave() -> None:
+            (attempt,), (ask,) = list(core.out.values()), list(core.held.values())
+            core.take_reply(attempt, PartReply(Outcome.ERROR), {})
+            core.gone(ask)
+
+        found.call(fail_and_leave)
+        until(lambda: not core.inbox and not module.queries)
+        assert found.call(lambda: [len(module.attempts), sum(len(each.calls) for each in module.capsules.values()),
+                                   len(core.out)]) == [0, 0, 0]
+        assert sum(len(node.calls) for node in found.nodes) == 1  # nothing began after it had left
+
+
+def test_where_nothing_may_be_cancelled_what_waits_unsent_goes_with_its_client() -> None:
+    with world(cancelling=False, streams_per_conn=1) as found:
+        listener = socket.socket()  # its queue is full: a connection there does not come up
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        filler = socket.create_connection(listener.getsockname())
+        move(found, listener)
+        client = found.client()
+        client.sock.sendall(found.request())
+        until(lambda: found.service.core.out)
+        client.sock.close()
+        until(lambda: not found.service.core.held)
+        conns = found.call(lambda: [(len(conn.queue), len(conn.waiting)) for conn in connections(found)])
+        assert conns in ([], [(0, 0)])
+        for each in (filler, listener):
+            each.close()
--- a/tests/platform/test_log.py
+++ b/tests/platform/test_log.py
@@ -17,5 +17,5 @@
     assert handle(1.6, [TimerDue(4)]) == []
     (line,) = capsysbinary.readouterr().err.splitlines()
     told = orjson.loads(line)
-    assert told["now"] == 1.5 and told["wanted"] == [["Send", 8, "s2", 0.3]]
+    assert told["now"] == 1.5 and told["wanted"] == [["Send", 8, "s2", 0.3, 0, None]]
     assert told["heard"] == [["AttemptEnded", 7, 0, "s1", "served", 0.02, True, {"util": 0.5}]]
--- a/tests/platform/test_nodes.py
+++ b/tests/platform/test_nodes.py
@@ -366,3 +366,101 @@
         assert len(service.nodes.nodes) <= 8 and len(core.servers) <= 8 and len(module.capsules) <= 8
 
 
+
+
+class Queued:
+    """A connection of s-0 that takes what the kernel's buffers hold and no more: what comes after waits unwritten."""
+
+    def __init__(self, found: World, calls: int = 300) -> None:
+        self.found, self.nodes = found, found.service.nodes
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.settimeout(WAIT)
+        move(found, self.listener)
+        self.ended: list[tuple[bytes, Outcome]] = []
+        self.parcels = [Parcel(Part(b"a%d.0" % number, 0, b"x" * 30_000), "a", 5.0) for number in range(calls)]
+        found.call(self.send)
+        self.sock, _ = self.listener.accept()
+        self.sock.settimeout(WAIT)
+        until(lambda: self.conn.flushing)
+
+    def send(self) -> None:
+        self.nodes.on_reply = lambda parcel, reply, load: self.ended.append((parcel.request.part, reply.outcome))
+        self.nodes.send("s-0", self.parcels)
+
+    @property
+    def conn(self) -> Connection:
+        return connections(self.found)[0]
+
+    def half_written(self) -> Parcel:
+        return self.conn.queue[0].parcels[0]
+
+    def read_all(self) -> bytes:
+        """All that still comes until nothing waits here and the kernel holds nothing, or until the end."""
+        data = b""
+        until(lambda: not self.nodes.nodes["s-0"].connections or not self.conn.flushing or self.take())
+        self.sock.settimeout(0.2)
+        try:
+            while chunk := self.sock.recv(1 << 20):
+                data += chunk
+        except TimeoutError:
+            pass
+        return self.taken + data
+
+    taken = b""
+
+    def conn_gone(self) -> bool:
+        return not connections(self.found)
+
+    def take(self) -> bool:
+        self.taken += self.sock.recv(1 << 20)
+        return False
+
+    def close(self) -> None:
+        self.sock.close()
+        self.listener.close()
+
+
+def test_what_waits_for_a_node_that_drains_is_not_written_any_more() -> None:
+    """A full socket or a connection that comes up late held calls back beyond the grace of the drain."""
+    with world(streams_per_conn=400) as found:
+        queued = Queued(found)
+        begun = len(queued.parcels) - sum(not frame.sent for frame in queued.conn.queue)
+        found.discovery.change(found.row(0, "leaving", addr=f"127.0.0.1:{queued.listener.getsockname()[1]}"))
+        until(lambda: len(queued.ended) == len(queued.parcels) - begun)
+        assert {outcome for _, outcome in queued.ended} == {Outcome.NOT_CONNECTED}
+        data = queued.read_all()
+        assert data.count(b" d=") == begun  # what had begun is finished, and nothing after it
+        queued.close()
+
+
+def test_a_call_whose_time_is_over_is_not_written_and_half_of_one_is_cut_off() -> None:
+    """A keyed part was sent again after its window: it was chosen within it and waited for its connection."""
+    with world(streams_per_conn=400) as found:
+        queued = Queued(found)
+        late = queued.parcels[-1]
+        found.call(lambda: setattr(late, "not_after", 0.0))
+        data = queued.read_all()
+        assert (late.request.part, Outcome.NOT_CONNECTED) in queued.ended and late.request.part not in data
+        assert queued.parcels[-2].request.part in data
+        queued.close()
+    with world(streams_per_conn=400) as found:
+        queued = Queued(found)
+        late = queued.half_written()
+        found.call(lambda: setattr(late, "not_after", 0.0))
+        queued.read_all()
+        assert (late.request.part, Outcome.NOT_CONNECTED) in queued.ended  # its last byte was never handed over
+        assert queued.nodes.opened >= 1 and queued.conn_gone()
+        queued.close()
+
+
+def test_a_half_written_call_that_nobody_waits_for_is_never_finished() -> None:
+    """Its client left: the last byte would begin the attempt."""
+    with world(streams_per_conn=400) as found:
+        queued = Queued(found)
+        half = queued.half_written()
+        found.call(lambda: queued.nodes.give_up(half))
+        until(queued.conn_gone)
+        data = queued.read_all()
+        assert len(queued.ended) == len(queued.parcels) - 1  # the others ended as the connection did
+        assert len(data) - data.rindex(half.request.part) < 30_000
+        queued.close()
