--- a/stepknot/platform/log.py
+++ b/stepknot/platform/log.py
@@ -17,7 +17,7 @@
 from stepknot.interface import Action, Event, SetTimer, TimerDue
 
 MOST = 20
-QUIET = {"call_sent", "query_ended", "box_listed"}  # one for each query or node: told where STEPKNOT_LOG is "debug"
+QUIET = {"call_sent", "query_ended", "box_listed", "bad_request"}  # one for each query or node: told where STEPKNOT_LOG is "debug"
 Handle = Callable[[float, list[Event]], list[Action]]
 
 
--- a/stepknot/platform/requests.py
+++ b/stepknot/platform/requests.py
@@ -53,16 +53,22 @@
     return float(found[1]) * UNITS[found[2]]
 
 
-def read_class(path: str) -> str:
-    """The path's first part, escapes undone: a name may hold any character, a slash among them."""
-    first = path.removeprefix("/").partition("/")[0]
-    return unquote_to_bytes(first.encode("latin-1")).decode("utf-8", "replace")
+def find_class(path: str, classes: dict[str, QueryClass]) -> QueryClass | None:
+    """The class that the path's first part names, as it stands or with its escapes undone. A name may hold any
+    character: where it has a slash that was not escaped, the first parts together name it."""
+    path = path.removeprefix("/")
+    for end in re.finditer("/|$", path):
+        name = path[:end.start()]
+        kind = classes.get(name) or classes.get(unquote_to_bytes(name.encode("latin-1")).decode("utf-8", "replace"))
+        if kind is not None:
+            return kind
+    return None
 
 
 def read_ask(request: Request, offer: Offer, arrived: float) -> Ask:
     """The query that the request asks. Its time runs from `arrived`."""
     head = request.headers
-    kind = offer.classes.get(read_class(request.path))
+    kind = find_class(request.path, offer.classes)
     if kind is None:
         raise BadRequest(404, "no such class of query")
     if request.method != "POST":
--- a/stepknot/platform/service.py
+++ b/stepknot/platform/service.py
@@ -98,6 +98,7 @@
             ask = requests.read_ask(request, self.offer, arrived)
         except requests.BadRequest as error:
             self.core.counts["bad_requests"] += 1
+            self.log("bad_request", status=error.status, why=error.reason, path=request.path[:80])
             return requests.error_answer(error.status, error.reason)
         if ask.name in self.open:
             return requests.error_answer(409, "a request of this id is in work")
@@ -115,6 +116,7 @@
         if error.status == 503 and limits.retry_after:  # a sound request that finds no room
             return requests.error_answer(503, error.reason, requests.advice(limits.max_retry_after))
         self.core.counts["bad_requests"] += 1
+        self.log("bad_request", status=error.status, why=error.reason)
         return requests.error_answer(error.status, error.reason)
 
     # --- life
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -272,6 +272,7 @@
 @pytest.mark.parametrize(("name", "path"), [
     ("kasse heute", "/kasse%20heute"), ("50%+1", "/50%25+1"), ("a/b", "/a%2Fb"), ("søk", "/s%C3%B8k"),
     ("healthz", "/healthz"), ("v1", "/v1/servers?x=1"), ("?", "/%3f"),
+    ("a/b", "/a/b/000d7dd6084bae41"), ("a%20b", "/a%20b"), ("list", "/list/move"),
 ])
 def test_a_class_may_have_any_name(name: str, path: str) -> None:
     """Escapes in the path were not undone, and a class called like the readiness path was answered as readiness: served
