--- a/stepknot/platform/log.py
+++ b/stepknot/platform/log.py
@@ -17,7 +17,8 @@
 from stepknot.interface import Action, Event, SetTimer, TimerDue
 
 MOST = 20
-QUIET = {"call_sent", "query_ended", "box_listed", "bad_request"}  # one for each query or node: told where STEPKNOT_LOG is "debug"
+# One for each query, request or node: told where STEPKNOT_LOG is "debug".
+QUIET = {"call_sent", "query_ended", "box_listed", "bad_request"}
 Handle = Callable[[float, list[Event]], list[Action]]
 
 
