Rounded shares of many parts are whole together

Seen on fjord-arkiv's herd (traced): each query of twelve parts, all needed, refused in the turn of its arrival, nothing sent: 12 x 0.083333 = 0.999996 is under the floor of 1 less the module's 1e-6 for rounding. Ruled out: bounds and probes (no send, no question). The request's reader scales shares to 1, within the thousandth it allows them to miss. Test fails without it.

--- a/stepknot/platform/requests.py
+++ b/stepknot/platform/requests.py
@@ -103,8 +103,11 @@
     pieces = [read_segment(each, shards) for each in body["segments"]]
     if len({piece.shard for piece in pieces}) < len(pieces):
         raise BadRequest(400, "a segment is named twice")
-    if abs(math.fsum(piece.weight for piece in pieces) - 1) > ROUNDING:
+    total = math.fsum(piece.weight for piece in pieces)
+    if abs(total - 1) > ROUNDING:
         raise BadRequest(400, "the segments' shares do not add up to 1")
+    for piece in pieces:  # what was rounded on the way would keep all parts together from being the whole
+        piece.weight /= total
     return pieces, text
 
 
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -8,7 +8,7 @@
 import pytest
 
 from tests.broker.scripted import Client, until
-from tests.platform.world import Call, World, world
+from tests.platform.world import Call, World, row, world
 
 PARTS = [{"segment": 0, "boost": 0.5}, {"segment": 1, "boost": 0.5}]
 
@@ -288,3 +288,17 @@
 def test_a_path_that_is_no_text_names_no_class() -> None:
     with world() as found:
         assert found.ask(path="/%ff%fe").status == 404 and found.ask(path="/%").status == 404
+
+
+@pytest.mark.parametrize("kind", ["list", "sum"])
+def test_rounded_shares_of_many_parts_are_whole_together(kind: str) -> None:
+    """Twelve times 0.083333 is not 1: each query of twelve parts that needs all of them was refused unsent."""
+    with world(nodes=12, family={"cells": 12, "ranges": 12}) as found:
+        body = {"segments": [{"segment": each, "boost": 0.083333} for each in range(12)], "text": "t"}
+        rows = [row(node, number) | {"cell": number} for number, node in enumerate(found.nodes)]
+        until(lambda: found.service.discovery.version == 10)
+        found.discovery.version = 11
+        found.discovery.say(found.discovery.watches[-1], rows, True)
+        until(lambda: found.service.discovery.version == 11)
+        reply = found.ask(kind, body=body)
+        assert reply.status == 200 and reply.body["all_in"] is True and len(reply.body["matches"]) == 12
