A cold server's share by sliding windows, nothing saved up, by the work of quick responses

Lines: logic.py has_room, whose credit filled up to a whole part while idle, refilled within the window in which it was spent, and began anew with each process and entry; its work was the mean response time, which a jam swells.

Change: an instance counts what it sent there in the last window, against its share of what the settings allow; of a part under one so many instances have one, drawn once; a process sends nothing to cold servers for its first window; the count outlives the entry; each class counts with its own work, learnt from responses that waited for little. Nothing else of the choice changes.

--- a/stepknot/logic.py
+++ b/stepknot/logic.py
@@ -20,7 +20,7 @@
     ListReceived, Narrow, Outcome, PartArrived, Probe, ProbeEnded, QueryArrived, QueryGone, Refuse, Send,
     ServerEntry, ServerState, SetTimer, Settings, TimerDue, Watch,
 )
-from stepknot.records import Attempt, Call, Capsule, Part, Query
+from stepknot.records import Attempt, Call, Capsule, Part, Query, Share
 
 # The watermark beta is what a server is seen to finish within this share of the shortest base wait of all
 # classes: a queue that the most hurried class can bear; the rest is for the spread of work.
@@ -60,6 +60,8 @@
 # A broken subscription is asked for again after this share of the ask-within rule, or after so many seconds:
 # with what the caller takes to see that it is broken and to open another, a change is told in time.
 WATCH_RETRY, RETRY_MOST = 0.25, 0.5
+QUICK = 0.25  # share of responses that are quicker than what is taken for work
+COLD_USE = 0.8  # of what a cold server can bear: the rest is for chance, and for work not like the mean
 OUTAGE = 1  # lost parts for each server, with none served anywhere, that are taken for an outage of all
 EPSILON = 1e-6  # weights add up to 1 but for rounding
 
@@ -77,6 +79,8 @@
         self.instances = settings.instances  # that may be there: all share what a cold server bears
         self.random = random.Random(seed)
         self.capsules: dict[str, Capsule] = {}  # of the servers listed, in the list's order
+        self.shares: dict[str, Share] = {}
+        self.work: dict[str, tuple[int, float]] = {}  # by class, and of all: responses heard, a part's work
         self.cells: dict[int, list[Capsule]] = {}  # the live ones by the cell of the shards they hold
         self.by_shard: dict[int, list[Capsule]] = {}  # made from that as asked for, not to be changed
         self.fleet = Capsule(ServerEntry("", "", 0, ServerState.LIVE))  # the means over all servers
@@ -91,7 +95,7 @@
         self.least: dict[str, float] = {}  # by trait: of these shares now
         self.worth = 0.0  # recent mean worth for a part
         self.unserved = 0  # parts lost, anywhere, since one was served
-        self.now = 0.0
+        self.now, self.began = 0.0, math.inf
         self.turn = self.token = 0
         self.shortest_wait = min((kind.aim for kind in settings.classes.values()), default=1.0) * (1 - MARGIN)
         self.handlers: dict[type, Callable[[Any], None]] = {
@@ -102,6 +106,7 @@
 
     def handle(self, now: float, events: list[Event]) -> list[Action]:
         self.now, self.actions, self.least = now, [], {}
+        self.began = min(self.began, now)
         self.turn += 1
         if self.turn == 1 and self.settings.must_ask:
             self.watch()
@@ -153,9 +158,13 @@
                 self.capsules.pop(entry.server, None)
             elif old is None or old.entry.up_since != entry.up_since:
                 # What was heard of an earlier process says nothing of this one; what is out stays counted.
-                self.capsules[entry.server] = Capsule(entry, old.calls) if old else Capsule(entry)
+                share = self.shares.setdefault(entry.server, Share())
+                self.capsules[entry.server] = Capsule(entry, old.calls if old else set(), share=share)
             else:
                 old.entry = entry
+        since = self.now - self.settings.rules.fall_time
+        self.shares = {server: share for server, share in self.shares.items()
+                       if server in self.capsules or share.spent and share.spent[-1][0] > since}
         self.cells, self.by_shard = {}, {}
         for capsule in self.capsules.values():
             if capsule.entry.state is ServerState.LIVE:
@@ -203,14 +212,16 @@
         """n: the calls out, less one formed in this turn that a further part joins."""
         return len(capsule.calls) - self.joins(capsule)
 
-    def take(self, capsule: Capsule) -> Call:
-        """Count one more part out; the call in which it travels."""
+    def take(self, capsule: Capsule, name: str) -> Call:
+        """Count one more part of this class out; the call in which it travels."""
         if not self.joins(capsule):
             gap = self.now - capsule.used
             capsule.call, capsule.gap = Call(self.turn, gap > self.shortest_wait), max(gap, 0.0)
             capsule.calls.add(capsule.call)
         call = capsule.call
-        call.sent, call.out, capsule.credit = call.sent + 1, call.out + 1, (capsule.credit or 0.0) - 1
+        call.sent, call.out = call.sent + 1, call.out + 1
+        if self.cold(capsule):
+            capsule.share.spent.append((self.now, self.work_of(name)))
         return call
 
     def release(self, capsule: Capsule, call: Call) -> None:
@@ -284,23 +295,41 @@
             return REPORT_TRUST * capsule.others
         return REPORT_TRUST * self.trust(self.fleet) * self.fleet.others
 
-    def has_room(self, capsule: Capsule) -> bool:
-        """Whether a cold server may get one more part: this instance's fair part of what makes it fall over.
-
-        A warm one finishes what is seen; a part under one means one in a longer time, randomly begun.
+    def cold(self, capsule: Capsule) -> bool:
+        up_since = capsule.entry.up_since
+        return up_since > 0 and self.now - up_since < self.settings.rules.cold_time
+
+    def work_of(self, name: str) -> float:
+        """What a part of this class costs a server: of the class, else of all."""
+        return (self.work.get(name) or self.work.get("") or (0, self.shortest_wait * UNHEARD))[1]
+
+    def learn_work(self, name: str, took: float) -> None:
+        """From responses that waited for little: a quarter of them are quicker. A mean would take a jam for
+        work, and new servers would be sent least where they are needed most."""
+        for key in (name, ""):
+            count, work = self.work.get(key) or (0, self.shortest_wait * UNHEARD)
+            step = max(MEAN_WEIGHT / 4, 1 / (count + 1))
+            self.work[key] = count + 1, work * math.exp(step * QUICK if took > work else step * (QUICK - 1))
+
+    def has_room(self, capsule: Capsule, name: str) -> bool:
+        """Whether a cold server may get one more part: this instance's fair part of what makes it fall over,
+        in any window of that time. Nothing is saved up: what idle instances saved, all would send at once.
+        Of a part under one, so many instances have one: drawn once, or to wait would be to draw again.
         """
-        rules = self.settings.rules
-        age = max(self.now - capsule.entry.up_since, 0.0)
-        if capsule.entry.up_since <= 0 or age >= rules.cold_time:
+        rules, spent = self.settings.rules, capsule.share.spent
+        if not self.cold(capsule):
             return True
+        if capsule.share.luck is None:
+            capsule.share.luck = self.random.random()
+        age = max(self.now - capsule.entry.up_since, 0.0)
         able = rules.cold_share + (1 - rules.cold_share) * age / rules.cold_time
-        budget = rules.fall_multiple * able * rules.fall_time / self.measure()[1] / self.instances
-        if capsule.credit is None:
-            capsule.credit = budget if budget >= 1 else self.random.random()
-        else:
-            capsule.credit += budget * (self.now - capsule.credit_at) / rules.fall_time
-        capsule.credit, capsule.credit_at = min(capsule.credit, max(1.0, budget)), self.now
-        return capsule.credit >= 1
+        cost, room = self.work_of(name), rules.fall_multiple * able * rules.fall_time
+        fair = COLD_USE * room / self.instances
+        while spent and spent[0][0] <= self.now - rules.fall_time:
+            spent.popleft()
+        left = fair - sum(work for _, work in spent)
+        # Who just started may have sent its part already, in the process before.
+        return self.now >= self.began + rules.fall_time and left + cost * capsule.share.luck >= cost
 
     def choose(self, query: Query, shard: int, tried: list[str], share: float, trial: bool) -> Capsule | None:
         """The replica with the fewest calls out; one formed in this turn takes a further part for nothing.
@@ -318,7 +347,7 @@
                 capsule), not self.joins(capsule), self.random.random()
 
         holders = [each for each in self.holders(shard)
-                   if each.entry.server not in tried and self.has_room(each)]
+                   if each.entry.server not in tried and self.has_room(each, query.kind.name)]
         if self.narrow:
             entries, safe = [each.entry for each in holders], query.kind.effect is Effect.SAFE
             holders = [holders[place] for place in self.narrow(self.now, entries, safe, bool(query.first))]
@@ -471,7 +500,8 @@
                 return
             for attempt in plan:
                 self.release(attempt.capsule, attempt.call)
-                attempt.capsule.credit = (attempt.capsule.credit or 0.0) + 1
+                if self.cold(attempt.capsule):
+                    attempt.capsule.share.spent.pop()
         self.conclude(query)
 
     def plan(self, query: Query, part: Part, share: float = 1.0, trial: bool = False) -> Attempt | None:
@@ -481,7 +511,7 @@
         wait = self.wait_at(query, capsule, share, trial) if capsule else 0.0
         if capsule is None or wait <= 0:
             return None
-        call = self.take(capsule)
+        call = self.take(capsule, query.kind.name)
         out = len(capsule.calls) + self.others_at(capsule)
         if query.kind.late_value and wait >= query.wait_end - self.now - EPSILON:
             wait = query.last - self.now  # not shortened: it may still be of use after the wait's end
@@ -533,6 +563,7 @@
             self.unserved = 0
             capsule.answered = capsule.used = self.now
             capsule.answered_sent = max(capsule.answered_sent, attempt.sent)
+            self.learn_work(query.kind.name, event.elapsed / max(attempt.out, 1.0))
             self.note_class(attempt, False)
             self.note(attempt, False)
         elif event.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT) and not busy:
--- a/stepknot/records.py
+++ b/stepknot/records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from dataclasses import dataclass, field
 
 from stepknot.interface import QueryClass, ServerEntry
@@ -17,6 +18,15 @@
     out: int = 0  # those of them not ended
 
 
+@dataclass(slots=True, eq=False)
+class Share:
+    """Of what a cold server bears. It outlives the entry: a server that comes back was not forgotten."""
+
+    luck: float | None = None  # from 0 to 1, drawn once: what a fraction of a part is worth here
+    # When parts were sent there while it was cold, lately, and the work that each was.
+    spent: deque[tuple[float, float]] = field(default_factory=deque)
+
+
 @dataclass(slots=True, eq=False)
 class Capsule:
     """What this aggregator knows of one server, or of all together."""
@@ -24,8 +34,7 @@
     entry: ServerEntry
     calls: set[Call] = field(default_factory=set)  # those out
     call: Call = field(default_factory=lambda: Call(-1))  # the last one formed
-    credit: float | None = None  # parts that a cold server may get, and when that was so (None: not known)
-    credit_at: float = 0.0
+    share: Share = field(default_factory=lambda: Share())
     heard: int = 0  # responses, the last of them when, and the recent means of
     heard_at: float = 0.0
     mean: float = 0.0  # the time they took
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -368,9 +368,9 @@
 def test_a_refused_query_spends_nothing_of_a_cold_servers_part() -> None:
     """Shards with cold replicas only starved: queries refused for another shard had used the part up."""
     driver = Driver(make_settings(instances=80), fleet=[entry("s0a", up_since=99.99)])
-    capsule = driver.aggregator.capsules["s0a"]
+    driver.at(START + 2.0)  # a process that just began sends nothing there
     driver.query("all", [0, 1])  # shard 1 has no holder
-    capsule.credit = 1.0
+    driver.aggregator.shares["s0a"].luck = 1.0  # it has one part of the share
     driver.query("all", [0, 1])
     assert not driver.sends()
     assert driver.query("all", [0]) not in driver.finals and len(driver.sends()) == 1
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -231,6 +231,7 @@
     query = driver.query("all", [1])
     driver.end(next(iter(driver.parts[query])))
     driver.list([entry("s0a", state=ServerState.GONE)], ListKind.CHANGES)
+    driver.at(driver.now + 2.0)  # a process that just began sends nothing there
     driver.list([entry("s0a", up_since=driver.now)], ListKind.CHANGES)
     sent = 0
     for _ in range(10):
