Settings that mean nothing are named; tests of restarts, signals, descriptors and one core shared by ten

Zero limits, unknown effects, classes named twice or without their figures: each one line with its place, at the start and at SIGHUP, where what was before holds. Processes: no client holds up the end; what is asked late in it is refused unsent; SIGHUP before the loop runs waits; nine of ten processes on one core ready in 10 s with discovery down; idle clients fill 64 descriptors while discovery is down, and discovery, nodes and new clients get theirs after.

--- a/stepknot/platform/config.py
+++ b/stepknot/platform/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
@@ -10,7 +11,7 @@
 import orjson
 
 from stepknot import interface as api
-from stepknot.benchlink import parse_settings, seconds
+from stepknot.benchlink import EFFECTS, parse_settings, seconds
 
 
 class Unreadable(Exception):
@@ -48,6 +49,7 @@
     try:
         settings, limits = given["settings"], given["limits"]
         allowed = settings["allowed"]
+        check(settings, limits, where)
         return Config(
             name=str(given["name"]),
             listen=address(given["listen"], f"{where}: listen"),
@@ -69,6 +71,40 @@
         raise Unreadable(f"{where}: a value is of the wrong kind: {error}") from None
 
 
+# What settings must hold for their figures to mean anything: path, least value.
+LEAST: tuple[tuple[str, float], ...] = (
+    ("settings.balancers", 1), ("settings.family-info.cells", 1), ("settings.family-info.ranges", 1),
+    ("settings.family-info.span", 1), ("settings.family-info.parts-a-call", 1), ("settings.allowed.max-attempts", 1),
+    ("settings.allowed.open-cap", 1), ("settings.allowed.connect-timeout-ns", 1), ("settings.rules.cold-ns", 0),
+    ("settings.rules.fall-ns", 1), ("settings.rules.tip-multiple", 0), ("settings.rules.drain-grace-ns", 0),
+    ("limits.memory_mb", 1), ("limits.sockets", 32),
+)
+
+
+def check(settings: Any, limits: Any, where: str) -> None:
+    """Raises Unreadable with the first place that is wrong, and what is expected there."""
+    for path, least in LEAST:
+        value: Any = {"settings": settings, "limits": limits}
+        for name in path.split("."):
+            value = value[name]
+        if type(value) not in (int, float) or not least <= value < math.inf:
+            raise Unreadable(f"{where}: {path}: expected {least} or more, not {value!r}")
+    family, names = settings["family-info"], set()
+    for number, lane in enumerate(settings["lanes"]):
+        place = f"{where}: settings.lanes[{number}]"
+        if lane["name"] in names:
+            raise Unreadable(f"{place}.name: {lane['name']!r} is there twice")
+        names.add(lane["name"])
+        if lane["idempotency"] not in EFFECTS:
+            raise Unreadable(f"{place}.idempotency: expected one of {', '.join(EFFECTS)}, not {lane['idempotency']!r}")
+        for key in ("slo-ns", "deadline-ns"):
+            if type(lane[key]) not in (int, float) or not 0 < lane[key] < math.inf:
+                raise Unreadable(f"{place}.{key}: expected a time over 0, not {lane[key]!r}")
+        for key in ("class-floor", "class-need", "class-fetch", "partial-earns"):
+            if len(family[key]) < len(settings["lanes"]):
+                raise Unreadable(f"{where}: settings.family-info.{key}: expected one for each of the lanes")
+
+
 def load(environment: Mapping[str, str]) -> Config:
     path = environment.get("LB_CONFIG", "")
     if not path:
--- a/tests/broker/scripted.py
+++ b/tests/broker/scripted.py
@@ -103,8 +103,8 @@
 class Listening:
     """A stand-in on a port of its own: each connection's conversation has a thread."""
 
-    def __init__(self) -> None:
-        self.listener = socket.create_server(("127.0.0.1", 0))
+    def __init__(self, port: int = 0) -> None:
+        self.listener = socket.create_server(("127.0.0.1", port))
         self.port: int = self.listener.getsockname()[1]
         self.socks: list[socket.socket] = []
         threading.Thread(target=self.accept, daemon=True).start()
--- a/tests/platform/test_service.py
+++ b/tests/platform/test_service.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import os
+import resource
 import signal
 import socket
 import subprocess
 import sys
+import time
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
@@ -15,6 +17,8 @@
 import orjson
 import pytest
 
+from stepknot.net.server import FRESH
+from stepknot.platform.discovery import TOLD
 from tests.broker.scripted import WAIT, Answer, Client, until
 from tests.platform.world import Call, Discovery, Node, free_port, profile, request, row
 
@@ -22,22 +26,30 @@
 
 
 class Process:
-    """A broker as `run` starts it, with one node and discovery."""
+    """A broker as `run` starts it, with two nodes and discovery, which it may share with others. `changes`: of what it
+    is told."""
 
-    def __init__(self, folder: Path) -> None:
-        self.nodes = [Node(), Node()]
+    def __init__(self, folder: Path, shared: Process | None = None, name: str = "n0", **changes: Any) -> None:
+        self.nodes = shared.nodes if shared else [Node(), Node()]
         rows = [row(node, number) for number, node in enumerate(self.nodes)]
-        self.discovery = Discovery(rows)
+        self.discovery = shared.discovery if shared else Discovery(rows)
         self.listen = ("127.0.0.1", free_port())
-        self.file = folder / "config.json"
+        self.file = folder / f"{name}.json"
         self.given: dict[str, Any] = {
-            "name": "n0", "listen": f"127.0.0.1:{self.listen[1]}", "discovery": f"127.0.0.1:{self.discovery.port}",
+            "name": name, "listen": f"127.0.0.1:{self.listen[1]}", "discovery": f"127.0.0.1:{self.discovery.port}",
             "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
-            "known": {"version": 3, "full": True, "servers": rows}, "settings": profile()}
+            "known": {"version": 3, "full": True, "servers": rows}, "settings": profile()} | changes
         self.write()
-        self.process = subprocess.Popen([sys.executable, "-m", "stepknot.platform"], stderr=subprocess.PIPE,
+        self.start()
+
+    def start(self, cores: set[int] | None = None) -> None:
+        self.started = time.monotonic()
+        self.process = subprocess.Popen([sys.executable, "-m", "stepknot.platform"], stderr=subprocess.DEVNULL,
                                         env=os.environ | {"LB_CONFIG": str(self.file)})
-        until(self.ready)
+        if cores:
+            os.sched_setaffinity(self.process.pid, cores)
+        else:
+            until(self.ready)
 
     def write(self) -> None:
         self.file.write_bytes(orjson.dumps(self.given))
@@ -60,8 +72,8 @@
 
 
 @contextmanager
-def started(folder: Path) -> Iterator[Process]:
-    found = Process(folder)
+def started(folder: Path, **changes: Any) -> Iterator[Process]:
+    found = Process(folder, **changes)
     try:
         yield found
     finally:
@@ -151,3 +163,124 @@
             "for number in range(1000):\n    log('node_spoilt', number=number)\n    log('call_sent')")
     lines = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True).stderr.splitlines()
     assert len(lines) == 20
+
+
+def test_no_client_holds_up_the_end(tmp_path: Path) -> None:
+    """One that rests, one in the midst of its request, one that reads nothing of a long answer: each was waited for."""
+    with started(tmp_path) as found:
+        found.nodes[0].script = lambda call: call.answer("x" * 60_000)
+        resting, half, deaf = found.client(), found.client(), found.client()
+        assert found.ask(resting).status == 200
+        half.sock.sendall(request("list", (0,), x_txn="half")[:-1])
+        deaf.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        for number in range(200):
+            deaf.sock.sendall(request("list", (0,), x_txn=f"d{number}"))
+        until(lambda: len(found.nodes[0].calls) > 3)
+        begun = time.monotonic()
+        found.process.send_signal(signal.SIGTERM)
+        assert found.process.wait(WAIT) == 0
+        longest = max(lane["deadline-ns"] for lane in found.given["settings"]["lanes"]) / 1e9
+        assert time.monotonic() - begun < longest + 0.7  # sooner than the platform kills it
+        assert half.rest() == b"" or b" 503 " in half.data or b" 408 " in half.data
+
+
+def test_what_is_asked_late_in_the_end_is_refused_at_once(tmp_path: Path) -> None:
+    """The last byte of a request comes after the time for which the front still sends: it was taken up, and cut off by
+    the kill."""
+    with started(tmp_path) as found:
+        found.nodes[0].script = lambda call: None
+        held, late = found.client(), found.client()
+        held.sock.sendall(request("list", (0,), x_txn="held"))
+        whole = request("list", (1,), x_txn="late")
+        late.sock.sendall(whole[:-1])
+        until(lambda: found.nodes[0].calls)
+        found.process.send_signal(signal.SIGTERM)
+        until(lambda: refused(found.listen))
+        time.sleep(FRESH + 0.1)  # the time itself is what is tested
+        late.sock.sendall(whole[-1:])
+        assert late.read().status == 503 and not found.nodes[1].calls
+        found.nodes[0].calls[0].answer()
+        assert held.read().status == 200 and found.process.wait(WAIT) == 0
+
+
+def refused(address: tuple[str, int]) -> bool:
+    try:
+        socket.create_connection(address, timeout=WAIT).close()
+        return False
+    except OSError:
+        return True
+
+
+def test_a_signal_before_anybody_listens_for_it_waits(tmp_path: Path) -> None:
+    code = ("import os, signal, sys\nfrom stepknot.platform import __main__, service\n"
+            "live = service.Service.live\n"
+            "def late(self, reload):\n    os.kill(os.getpid(), signal.SIGHUP)\n    live(self, reload)\n"
+            "service.Service.live = late\nsys.exit(__main__.main([]))")
+    found = Process.__new__(Process)
+    file = tmp_path / "config.json"
+    port = free_port()
+    file.write_bytes(orjson.dumps({
+        "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": "127.0.0.1:1", "seed": "8c", "known": "garbage",
+        "limits": {"cores": 1, "memory_mb": 64, "sockets": 256}, "settings": profile()}))
+    found.listen, found.process = ("127.0.0.1", port), subprocess.Popen(
+        [sys.executable, "-c", code], stderr=subprocess.PIPE, env=os.environ | {"LB_CONFIG": str(file)})
+    until(found.ready)
+    found.process.send_signal(signal.SIGTERM)
+    _, told = found.process.communicate(timeout=WAIT)
+    assert found.process.returncode == 0
+    assert b'"event":"reloaded"' in told and b'"event":"known_list_not_taken"' in told
+
+
+def test_nine_of_ten_processes_on_one_core_are_ready_in_time(tmp_path: Path) -> None:
+    """Started together on one core, with discovery down and lists as last had that are empty, old or malformed."""
+    with started(tmp_path) as first:
+        first.discovery.mood = "silent"
+        others = []
+        for number in range(10):
+            known = [None, {}, "garbage", {"version": 1, "full": True, "servers": [{"id": 7}]},
+                     first.given["known"]][number % 5]
+            other = Process.__new__(Process)
+            other.nodes, other.discovery = first.nodes, first.discovery
+            other.listen, other.file = ("127.0.0.1", free_port()), tmp_path / f"n{number + 1}.json"
+            other.given = first.given | {"known": known, "listen": f"127.0.0.1:{other.listen[1]}"}
+            if number % 2:
+                other.given["discovery"] = f"127.0.0.1:{free_port()}"  # nobody is there
+            other.write()
+            others.append(other)
+        core = {min(os.sched_getaffinity(0))}
+        for other in others:
+            other.start(core)
+        took = []
+        for other in others:
+            until(other.ready)
+            took.append(time.monotonic() - other.started)
+        for other in others:
+            other.process.kill()
+            other.process.wait(WAIT)
+        assert sorted(took)[8] < 10.0, took
+
+
+def test_idle_clients_fill_the_descriptors_while_discovery_is_down_and_all_get_theirs_after(tmp_path: Path) -> None:
+    with started(tmp_path, limits={"cores": 1.0, "memory_mb": 64, "sockets": 64}) as found:
+        resource.prlimit(found.process.pid, resource.RLIMIT_NOFILE, (64, 64))
+        until(lambda: found.discovery.asked)
+        port = found.discovery.port
+        found.discovery.close()  # and every watch with it
+        crowd = []
+        for number in range(120):
+            sock = socket.create_connection(found.listen, timeout=WAIT)
+            if number % 2:
+                sock.sendall(request("list", (0,), x_txn=f"c{number}"))
+            crowd.append(sock)
+        back = Discovery([row(node, number) for number, node in enumerate(found.nodes)], version=40, port=port)
+        begun = time.monotonic()
+        until(lambda: back.asked)
+        assert time.monotonic() - begun < TOLD
+        back.change(row(found.nodes[0], 0, "leaving"))
+        until(lambda: found.ask(x_txn=f"n{time.monotonic_ns()}").status == 503)  # it heard of the drain
+        client = found.client()
+        client.sock.sendall(request("list", (1,), x_txn="after"))
+        assert client.read().status == 200
+        for sock in crowd:
+            sock.close()
+        back.close()
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -119,13 +119,13 @@
     """Serves the list to watches. `mood`: serve, refuse (a 503), silent (accepts and says nothing), half (a line that
     goes on and never ends), beats (empty lines after the list), lost (resets the call)."""
 
-    def __init__(self, rows: list[dict[str, Any]], version: int = 10) -> None:
+    def __init__(self, rows: list[dict[str, Any]], version: int = 10, port: int = 0) -> None:
         self.rows, self.version, self.mood = rows, version, "serve"
         self.asked: list[str] = []  # the targets of requests
         self.asked_at: list[float] = []
         self.stopped = threading.Event()
         self.watches: list[socket.socket] = []
-        super().__init__()
+        super().__init__(port)
 
     def converse(self, sock: socket.socket) -> None:
         data = b""
