After a stall a client's time counts from the kernel's queue; brokers restart under requests and lose none

What was read after a stall ran its time from then and could be answered later than half a second after the client's time, which is a lost request (service.py took 25 ms off at the most): a long turn is taken off whole until its backlog is read. SIGTERM waits, too, until the loop listens for signals: the listener is there before. Where lists are pushed readiness waits for discovery's first word, 2 s at the most. Crossings forced at nodes: half an answer and a reset, a reset after the answer, a call put on a connection whose idle time ends, a connection that comes up after its parts ended.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -255,7 +255,7 @@
      f"{RARE}::test_a_node_that_vanishes_and_returns_serves_again_and_nothing_is_held_for_it"),
     ("platform/nodes.py", "size, calls = self.parts_per_call, 0", "size, calls = 1, 0",
      f"{NODES}::test_parts_that_share_a_call_travel_in_one_frame_and_are_answered_one_by_one"),
-    ("platform/service.py", "request.arrived - min(self.loop.lag_lately, SLICE)", "request.arrived",
+    ("platform/service.py", "max(min(self.loop.lag_lately, SLICE), self.loop.behind)", "self.loop.behind",
      f"{RARE}::test_the_clients_time_has_room_for_a_turn_as_long_as_any_was"),
     ("logic.py", "return deaf, bound, self.silent(capsule)", "return False, bound, self.silent(capsule)",
      f"{FAILURES}::test_a_class_that_a_server_loses_while_it_answers_others_goes_elsewhere"),
--- a/stepknot/broker/life.py
+++ b/stepknot/broker/life.py
@@ -14,6 +14,9 @@
 COLLECT_EVERY = 50_000
 
 
+HANDLED = {signal.SIGHUP, signal.SIGTERM}  # held back, where the caller does so, until `live` listens for them
+
+
 class Life:
     """A broker on a loop of its own; `ending` is what a subclass does once it is told to stop."""
 
@@ -36,7 +39,7 @@
         self.loop.on_signal(self.stop, signal.SIGTERM, signal.SIGINT)
         if reload is not None:
             self.loop.on_signal(reload, signal.SIGHUP)
-            signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED)
         # Settings, grammar and modules stay for good: the collector need not walk them at every pass, nor pass often.
         gc.collect()
         gc.freeze()
--- a/stepknot/net/loop.py
+++ b/stepknot/net/loop.py
@@ -237,6 +237,7 @@
         self.lag_counts = [0] * (len(LAG_BUCKETS) + 1)
         self.lag_sum, self.lag_most, self.turns, self.busy = 0.0, 0.0, 0, 0.0
         self.lag_lately, self.lag_at = 0.0, self.now  # the longest turn, fading
+        self.behind = 0.0  # for so long what is read now may have been there: a long turn, until its backlog is read
 
     def raise_error(self, name: str, error: BaseException) -> None:
         self.failure, self.stopping = error, True
@@ -343,6 +344,10 @@
         self.lag_most = max(self.lag_most, took)
         self.lag_lately = max(took, self.lag_lately * 0.5 ** ((self.now - self.lag_at) / LAG_MEMORY))
         self.lag_at = self.now
+        if took >= SLICE:
+            self.behind = max(self.behind, took)
+        elif not self.new:
+            self.behind = 0.0
         place = 0
         while place < len(LAG_BUCKETS) and took > LAG_BUCKETS[place]:
             place += 1
--- a/stepknot/platform/__main__.py
+++ b/stepknot/platform/__main__.py
@@ -28,8 +28,11 @@
         helped = arguments == ["--help"]
         print(HELP, end="", file=sys.stdout if helped else sys.stderr)
         return 0 if helped else 2
-    # A SIGHUP that comes before somebody listens for it waits; `Life.live` lets it through.
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    from stepknot.broker.life import HANDLED
+
+    # A signal that comes before somebody listens for it waits, as the kernel may hold clients' requests already;
+    # `Life.live` lets them through.
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED)
     from stepknot.platform.log import make_log, traced, wants_trace
     from stepknot.platform.service import Service
 
--- a/stepknot/platform/config.py
+++ b/stepknot/platform/config.py
@@ -28,6 +28,7 @@
     sockets: int
     known: Any  # the list as last had, in discovery's form, if it can be read
     settings: api.Settings
+    pushed: bool  # what discovery has counts as told from the first moment on
     shards: int
     streams: int  # parts that a connection to a node carries at once
     connect_timeout: float
@@ -60,6 +61,7 @@
             known=given.get("known"),
             # Pushed lists come on a watch, too: whoever does not open it is told nothing and held to all.
             settings=replace(parse_settings(settings), must_ask=True),
+            pushed=settings["discovery"] == "push",
             shards=int(settings["family-info"]["ranges"]),
             streams=max(int(allowed["streams-per-conn"]), 1),
             connect_timeout=seconds(allowed["connect-timeout-ns"]),
--- a/stepknot/platform/discovery.py
+++ b/stepknot/platform/discovery.py
@@ -142,6 +142,7 @@
         self.current: Task | None = None  # the watch that counts
         self.opening: Task | None = None  # one that has not spoken yet
         self.told = False  # that it failed, and nothing was asked since
+        self.heard = False  # anything at all
 
     def ask(self) -> None:
         """Begin a watch on changes since the version that is known. The one that counts goes on until it speaks."""
@@ -209,6 +210,7 @@
                     self.take(news)
 
     def spoke(self, task: Task | None) -> None:
+        self.heard = True
         if task is self.opening:
             if self.current is not None:
                 self.current.kill()
--- a/stepknot/platform/service.py
+++ b/stepknot/platform/service.py
@@ -1,9 +1,10 @@
 """The platform's broker: the loop, core and module of every broker, with the platform's protocol before and behind.
 
-Life: the list as last had serves until discovery speaks; `/healthz` says 200 from the first turn on. SIGHUP reads the
-configuration again and follows discovery's new address. SIGTERM: new connections are taken and served for `STAY`
-seconds, since the front still sends them, each answer ending its connection; then what is in work is finished, at the
-latest when the last client's time is up, and what is written gets `LAST_WORD` to arrive: no client holds the end up.
+Life: the list as last had serves until discovery speaks; `/healthz` says 200 from the first turn on, or, where lists
+are pushed, once discovery spoke. SIGHUP reads the configuration again and follows discovery's new address. SIGTERM:
+new connections are taken and served for `STAY` seconds, since the front still sends them, each answer ending its
+connection; then what is in work is finished, at the latest when the last client's time is up, and what is written gets
+`LAST_WORD` to arrive: no client holds the end up.
 """
 
 from __future__ import annotations
@@ -32,6 +33,7 @@
 RESTING_SHARE = 0.2  # between two requests: who asks anew must find that third not used up by those that stay
 OWN = 16  # descriptors for the loop, the listener, discovery and the logs
 STAY = 0.5  # seconds for which new connections still come after SIGTERM
+READY_WITHIN = 2.0  # seconds after which the list as last had must do, also where lists are pushed
 LAST_WORD, FAREWELL = 1.0, 0.2  # seconds at the end for what is being written, and for those that were parted with
 READ_AGAIN = (0.1, 0.2, 0.4, 0.8)  # seconds after which a file that SIGHUP found half written is looked at again
 
@@ -46,7 +48,7 @@
         self.loop = loop = Loop(clock, chance, on_error=self.on_task_error)
         loop.on_slow_turn = self.on_slow_turn
         settings = config.settings
-        self.clock_offset = clock() - wall()
+        self.clock_offset, self.begun = clock() - wall(), loop.now
         self.nodes = Nodes(loop, config.streams, settings.parts_per_call, config.connect_timeout,
                            settings.limits.idle_connection, config.sockets - OWN - self.most_clients(), log)
         self.core = Core(loop, settings, chance.getrandbits(62), self.nodes, log, config.most_open, config.name,
@@ -64,6 +66,11 @@
         self.server.most, self.server.one_at_a_time = self.most_clients(), True
         self.server.most_resting = config.sockets * RESTING_SHARE
 
+    def ready(self) -> bool:
+        """Where lists are pushed, a new process is held to what discovery has before it heard of it."""
+        told = not self.config.pushed or self.discovery.heard or self.loop.now >= self.begun + READY_WITHIN
+        return told and not self.stopping
+
     def most_clients(self) -> int:
         return int(self.config.sockets * CLIENTS_SHARE)
 
@@ -91,9 +98,10 @@
 
     def handle(self, request: Request, connection: Connection) -> Coroutine:
         if request.path == "/healthz" and request.method != "POST":  # a class may be called so
-            return Response(503 if self.stopping else 200, b"{}")
-        # It may have stood in the kernel's queue for a turn, and its answer may have to wait for one.
-        arrived = request.arrived - min(self.loop.lag_lately, SLICE)
+            return Response(200 if self.ready() else 503, b"{}")
+        # It may have stood in the kernel's queue for a turn, and its answer may have to wait for one. After a stall it
+        # may have stood there all the time: answered by its time from here on it would be too late by so much.
+        arrived = request.arrived - max(min(self.loop.lag_lately, SLICE), self.loop.behind)
         try:
             ask = requests.read_ask(request, self.offer, arrived)
         except requests.BadRequest as error:
--- a/tests/platform/test_hard_cases.py
+++ b/tests/platform/test_hard_cases.py
@@ -8,12 +8,16 @@
 import time
 from pathlib import Path
 
+import pytest
+
 from stepknot.boxes.codec import PartReply
+from stepknot.boxes.side import Parcel
 from stepknot.interface import Outcome
+from stepknot.platform.frames import Part
 from tests.broker.scripted import WAIT, until
 from tests.platform.test_nodes import connections, hold, move, outcomes
 from tests.platform.test_service import started
-from tests.platform.world import Call, world
+from tests.platform.world import Call, answer, world
 
 
 def test_a_slow_reader_holds_only_its_own_answers() -> None:
@@ -155,3 +159,102 @@
         assert conns in ([], [(0, 0)])
         for each in (filler, listener):
             each.close()
+
+
+def test_a_request_that_stood_in_the_kernel_through_a_stall_is_not_worked_on_past_its_time() -> None:
+    """Its time ran from when it was read: it was answered a stall's length too late."""
+    with world() as found:
+        begun = threading.Event()
+
+        def stall() -> None:
+            begun.set()
+            time.sleep(0.8)
+
+        thread = threading.Thread(target=lambda: found.call(stall))
+        thread.start()
+        assert begun.wait(WAIT)
+        over, left = found.client(), found.client()  # accepted by the kernel alone
+        over.sock.sendall(found.request("list", (0,), x_remaining="500m"))
+        left.sock.sendall(found.request("list", (1,), x_remaining="1900m"))
+        thread.join(WAIT)
+        assert over.read().status == 503 and left.read().status == 200
+        assert not found.nodes[0].calls
+        assert found.ask(x_remaining="500m").status == 200  # the backlog is read
+
+
+def test_a_short_time_is_enough_where_nothing_is_slow() -> None:
+    with world() as found:
+        for lane in found.service.core.settings.classes.values():
+            assert lane.aim > 0.1
+        assert [found.ask(x_remaining="300m").status for _ in range(20)].count(200) >= 19
+
+
+def test_half_an_answer_and_a_reset_may_have_run_and_the_part_goes_elsewhere() -> None:
+    with world(nodes=4) as found:
+        def half(call: Call) -> None:
+            data = answer(call.parts[0][0], "v0")
+            call.send(data[:len(data) // 2])
+            call.close(reset=True)
+
+        found.nodes[0].script = half
+        assert {found.ask().status for _ in range(8)} == {200}
+        assert outcomes(found)[Outcome.RESET] >= 1 and found.nodes[2].calls
+
+
+def test_a_reset_long_after_the_answer_ends_nothing() -> None:
+    with world() as found:
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.settimeout(WAIT)
+        move(found, listener)
+        client = found.client()
+        client.sock.sendall(found.request(x_txn="a"))
+        sock, _ = listener.accept()
+        assert b"a.0" in sock.recv(65536)
+        sock.sendall(answer("a.0", "v0"))
+        assert client.read().status == 200
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+        sock.close()
+        until(lambda: not connections(found))
+        assert outcomes(found) == {Outcome.SERVED: 1} and not found.service.core.out
+        listener.close()
+
+
+def test_a_call_put_on_a_connection_as_its_idle_time_ends_or_its_descriptor_is_wanted_keeps_it() -> None:
+    with world() as found:
+        nodes = found.service.nodes
+        assert found.ask().status == 200
+        (conn,) = connections(found)
+        part = Parcel(Part(b"x.0", 0, b"t"), "x", 1.0)
+        found.call(lambda: setattr(nodes, "on_reply", lambda parcel, reply, load: None))
+
+        def cross() -> tuple[bool, bool]:
+            conn.since = -1e9  # idle for longer than any node allows
+            nodes.send("s-0", [part])
+            nodes.sweep()
+            return nodes.spare_one(), conn.ended
+
+        assert found.call(cross) == (False, False)
+        until(lambda: len(found.nodes[0].calls) == 2)
+
+
+def test_a_connection_that_comes_up_after_its_parts_ended_is_sent_nothing() -> None:
+    with world(connect_timeout_ns=5e9) as found:
+        listener = socket.socket()  # its queue is full: a connection there comes up once the kernel tries again
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        listener.settimeout(WAIT)
+        filler = socket.create_connection(listener.getsockname())
+        move(found, listener)
+        client = found.client()
+        client.sock.sendall(found.request())
+        until(lambda: found.service.core.out)
+        client.sock.close()
+        until(lambda: not found.service.core.held)
+        listener.accept()[0].close()  # there is room
+        late, _ = listener.accept()
+        until(lambda: connections(found)[0].link is not None)
+        late.settimeout(0.2)
+        with pytest.raises(TimeoutError):
+            late.recv(1)
+        for each in (late, filler, listener):
+            each.close()
--- a/tests/platform/test_service.py
+++ b/tests/platform/test_service.py
@@ -211,10 +211,12 @@
         return True
 
 
-def test_a_signal_before_anybody_listens_for_it_waits(tmp_path: Path) -> None:
+@pytest.mark.parametrize("number", ["SIGHUP", "SIGTERM"])
+def test_a_signal_before_anybody_listens_for_it_waits(tmp_path: Path, number: str) -> None:
+    """The listener is there by then, and the kernel takes connections: ended there, the process would lose them."""
     code = ("import os, signal, sys\nfrom stepknot.platform import __main__, service\n"
             "live = service.Service.live\n"
-            "def late(self, reload):\n    os.kill(os.getpid(), signal.SIGHUP)\n    live(self, reload)\n"
+            f"def late(self, reload):\n    os.kill(os.getpid(), signal.{number})\n    live(self, reload)\n"
             "service.Service.live = late\nsys.exit(__main__.main([]))")
     found = Process.__new__(Process)
     file = tmp_path / "config.json"
@@ -224,11 +226,12 @@
         "limits": {"cores": 1, "memory_mb": 64, "sockets": 256}, "settings": profile()}))
     found.listen, found.process = ("127.0.0.1", port), subprocess.Popen(
         [sys.executable, "-c", code], stderr=subprocess.PIPE, env=os.environ | {"LB_CONFIG": str(file)})
-    until(found.ready)
-    found.process.send_signal(signal.SIGTERM)
+    if number == "SIGHUP":
+        until(found.ready)
+        found.process.send_signal(signal.SIGTERM)
     _, told = found.process.communicate(timeout=WAIT)
     assert found.process.returncode == 0
-    assert b'"event":"reloaded"' in told and b'"event":"known_list_not_taken"' in told
+    assert (b'"event":"reloaded"' in told) == (number == "SIGHUP") and b'"event":"known_list_not_taken"' in told
 
 
 def test_nine_of_ten_processes_on_one_core_are_ready_in_time(tmp_path: Path) -> None:
