--- a/stepknot/platform/discovery.py
+++ b/stepknot/platform/discovery.py
@@ -39,7 +39,7 @@
 BEAT = 2.0  # seconds after which an empty line comes where nothing changes
 TOLD = 6.0  # seconds
 SILENCE = 1.25 * BEAT  # a watch that says nothing for so long is broken
-OPENING = 1.5  # seconds from the call to the first whole line, the connection included
+OPENING = 1.5  # seconds from the call to its first list or changes, the connection included
 STRUCTURE = re.compile(rb'"(?:[^"\\]|\\.)*"|[{}\[\]]')  # strings do not go over lines
 STATES = {"active": ServerState.LIVE, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
 
@@ -203,6 +203,8 @@
                 if news is not None and not news.full and news.version < (newest or since):
                     self.whole = True
                     raise Unreadable(f"version {news.version} after {newest or since}")
+                if news is None and task is self.opening:
+                    continue  # the first word is the list or its changes: empty lines alone tell nothing
                 self.spoke(task)
                 until = self.loop.now + SILENCE
                 if news is not None:
--- a/tests/platform/test_discovery.py
+++ b/tests/platform/test_discovery.py
@@ -214,7 +214,7 @@
             "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "settings": settings}
 
 
-@pytest.mark.parametrize("mood", ["silent", "half", "refuse", "lost"])
+@pytest.mark.parametrize("mood", ["silent", "half", "empty", "refuse", "lost"])
 def test_a_change_is_told_in_time_whatever_call_failed(mood: str) -> None:
     """The watch falls silent, the next call comes to nothing, the one after it is served: a drain that discovery had
     from the first moment on."""
@@ -227,7 +227,7 @@
         found.discovery.mood = "serve"
         until(lambda: live(found).get("s-0") == "draining")
         assert time.monotonic() - quiet < TOLD
-        if mood in ("silent", "half"):  # it says no whole line, also where bytes keep coming
+        if mood in ("silent", "half", "empty"):  # it says no whole line, also where bytes keep coming
             assert found.discovery.asked_at[2] - found.discovery.asked_at[1] <= OPENING + RETRY_MOST + 0.2
 
 
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -117,7 +117,7 @@
 
 class Discovery(Listening):
     """Serves the list to watches. `mood`: serve, refuse (a 503), silent (accepts and says nothing), half (a line that
-    goes on and never ends), beats (empty lines after the list), lost (resets the call)."""
+    goes on and never ends), beats (empty lines after the list), empty (those alone), lost (resets the call)."""
 
     def __init__(self, rows: list[dict[str, Any]], version: int = 10, port: int = 0) -> None:
         self.rows, self.version, self.mood = rows, version, "serve"
@@ -142,13 +142,13 @@
             sock.close()
         if self.mood == "refuse":
             sock.sendall(b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n")
-        elif self.mood in ("serve", "half", "beats"):
+        elif self.mood in ("serve", "half", "beats", "empty"):
             sock.sendall(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
-            if self.mood != "half":
+            if self.mood not in ("half", "empty"):
                 self.say(sock, self.rows, True)
             try:
                 while self.mood != "serve" and not self.stopped.wait(0.1):
-                    sock.sendall(b"1\r\n%s\r\n" % (b"\n" if self.mood == "beats" else b" "))
+                    sock.sendall(b"1\r\n%s\r\n" % (b" " if self.mood == "half" else b"\n"))
             except OSError:
                 pass  # the broker ended it
 
