An answer that is being written is no idle connection; paths that end things, with their verdicts

Read in the code while writing the table of docs/platform.md: once its answer was made a connection counted as between two requests, so the listener's close, its idle time or an eviction ended it with the answer half written (server.py close, check_silence, make_room): a lost request. Link.unsent tells. Three forced tests, planted defects.

--- a/stepknot/net/server.py
+++ b/stepknot/net/server.py
@@ -68,7 +68,7 @@
         if self.link.closed or self.leaving:
             return
         left = self.deadline - self.server.loop.now
-        if self.busy:  # a request is in work: its own deadline bounds it
+        if self.busy or self.link.unsent:  # a request is in work, or its answer: their own time bounds them
             left = max(left, self.server.limits.idle)
         if left > 0:
             self.timer_set = True
@@ -121,7 +121,8 @@
         self.server.loop.call_later(LINGER, self.link.close)
 
     def leave_unless_asked(self) -> None:
-        if not self.busy and not self.parser.started and not self.first and self.link.peek() is None:
+        idle = not self.busy and not self.link.unsent and not self.parser.started and not self.first
+        if idle and self.link.peek() is None:
             self.leave()
 
     def drain(self) -> Coroutine:
@@ -382,7 +383,8 @@
         """End the connection that is missed least, whether there was one: the one that has been without a whole request
         for longest, be it between two, silent or in the midst of one. One that just came is about to ask, and goes
         last; one whose next bytes wait unread is none of them. Before all come those that were parted with."""
-        resting = [each for each in self.connections if not each.busy and not each.link.closed]
+        resting = [each for each in self.connections
+                   if not each.busy and not each.link.closed and (each.leaving or not each.link.unsent)]
         for each in sorted(resting, key=lambda each: (not each.leaving, max(each.begun, each.free_at))):
             if each.leaving or not each.first and each.link.peek() is None:
                 self.turned_away += 1
--- a/tests/net/test_server.py
+++ b/tests/net/test_server.py
@@ -231,3 +231,34 @@
     front.hold.set(True)
     for sock in (*busy, turned, waiting, beyond):
         sock.close()
+
+
+@pytest.mark.parametrize("how", ["the listener closes", "its time is over", "its descriptor is wanted"])
+def test_an_answer_that_is_being_written_is_written_whole_whatever_ends_meanwhile(front: Front, how: str) -> None:
+    """Its request was no longer in work, so that the connection was taken for an idle one and cut off."""
+    front.body = b"x" * 12_000_000  # more than the sockets hold
+    sock = front.client(ASK)
+    front.until(lambda: any(each.link.unsent for each in front.server.connections))
+    (connection,) = front.server.connections
+    if how == "the listener closes":
+        front.server.close()
+    elif how == "its time is over":
+        connection.deadline, connection.timer_set = 0.0, False
+        connection.check_silence()
+    else:
+        assert not front.server.make_room()
+    assert not connection.leaving and not connection.link.closed
+    sock.settimeout(WAIT)
+    got, done = bytearray(), len(front.body)
+    sock.setblocking(False)
+
+    def read() -> bool:
+        try:
+            got.extend(sock.recv(1 << 20))
+        except BlockingIOError:
+            pass
+        return len(got) > done
+
+    front.until(read)
+    assert got.endswith(front.body[-1000:])
+    sock.close()
