--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -240,7 +240,7 @@
      f"{WATCH}::test_indented_lists_are_read_however_they_are_cut"),
     ("platform/discovery.py", "self.whole = True", "pass",
      f"{WATCH}::test_another_numbering_after_a_move_begins_with_the_whole_list"),
-    ("platform/discovery.py", "news.version > self.version and not self.whole", "True",
+    ("platform/discovery.py", "news.version >= self.version and not self.whole", "True",
      f"{WATCH}::test_changes_that_another_watch_overtook_change_nothing"),
     ("platform/discovery.py", "self.opening.kill()", "pass",
      f"{WATCH}::test_moves_while_nothing_answers_leave_two_watches_at_the_most"),
--- a/stepknot/platform/discovery.py
+++ b/stepknot/platform/discovery.py
@@ -226,7 +226,7 @@
         return read_list(given, self.clock_offset)
 
     def take(self, news: NodeList) -> None:
-        if news.full or news.version > self.version and not self.whole:
+        if news.full or news.version >= self.version and not self.whole:
             self.version, self.whole = news.version, False
             self.on_list(news)
 
