--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -286,6 +286,12 @@
      f"{ENDS}::test_a_request_that_is_whole_only_after_the_end_is_refused_and_not_taken_up"),
     ("net/server.py", "if full and len(self.connections) >=", "if full or len(self.connections) >=",
      f"{ENDS}::test_who_finds_no_room_is_told_so"),
+    ("net/server.py", "idle = not self.busy and not self.link.unsent and", "idle = not self.busy and",
+     f"{ENDS}::test_an_answer_that_is_being_written_is_written_whole_whatever_ends_meanwhile"),
+    ("net/server.py", "if self.busy or self.link.unsent:", "if self.busy:",
+     f"{ENDS}::test_an_answer_that_is_being_written_is_written_whole_whatever_ends_meanwhile"),
+    ("net/server.py", "(each.leaving or not each.link.unsent)", "True",
+     f"{ENDS}::test_an_answer_that_is_being_written_is_written_whole_whatever_ends_meanwhile"),
     ("platform/service.py", "yield from self.wait_while(LAST_WORD,", "yield from self.wait_while(60.0,",
      f"{PROCESS}::test_no_client_holds_up_the_end"),
     ("broker/life.py", "HANDLED = {signal.SIGHUP, signal.SIGTERM}", "HANDLED = {signal.SIGUSR1}",
@@ -435,8 +441,12 @@
         if text.count(old) != 1:
             return f"its place was found {text.count(old)} times"
         path.write_text(text.replace(old, new))
-        run = subprocess.run([sys.executable, "-m", "pytest", "-q", "-x", "-p", "no:cacheprovider", *tests.split()],
-                             cwd=copy, env={**os.environ, "PYTHONPATH": str(copy)}, capture_output=True, timeout=300)
+        try:
+            run = subprocess.run([sys.executable, "-m", "pytest", "-q", "-x", "-p", "no:cacheprovider", *tests.split()],
+                                 cwd=copy, env={**os.environ, "PYTHONPATH": str(copy)}, capture_output=True,
+                                 timeout=120)
+        except subprocess.TimeoutExpired:
+            return "pytest did not end"
         return {0: "unseen", 1: "seen"}.get(run.returncode, f"pytest ended with {run.returncode}")
 
 
--- a/tests/net/test_server.py
+++ b/tests/net/test_server.py
@@ -89,7 +89,7 @@
     front.hold, front.body = Signal(), b"x" * 3_000_000  # more than the sockets hold
     sock = front.client(ASK.replace(b"host", b"connection: close\r\nhost"))
     front.until(lambda: front.taken)
-    sock.sendall(ASK * 100)
+    sock.sendall(ASK * 5000)  # far beyond what is read ahead
     front.hold.set(True)
     front.until(lambda: not any(each.busy for each in front.server.connections))
     got = front.answer_to(sock)
@@ -151,13 +151,16 @@
     sock = front.client(ASK)
     front.until(lambda: front.taken)
     sock.setblocking(False)
-    left = 8_000_000
-    while left:  # beyond all buffers, and then the end
+    left = [8_000_000]
+
+    def send() -> bool:  # beyond all buffers, and then the end
         try:
-            left -= sock.send(bytes(min(left, 1 << 16)))
+            left[0] -= sock.send(bytes(min(left[0], 1 << 16)))
         except BlockingIOError:
-            front.loop.call_later(0.001, lambda: None)
-            front.loop.turn()
+            pass
+        return not left[0]
+
+    front.until(send)
     sock.close()
     front.until(lambda: front.gone)
     assert len(front.taken) == 1
@@ -168,7 +171,7 @@
     front.hold = Signal()
     sock = front.client(ASK)
     front.until(lambda: front.taken)
-    count = 4 * READ_AHEAD // len(ASK)
+    count = 20 * READ_AHEAD // len(ASK)
     sock.sendall(ASK * count)
     (connection,) = front.server.connections
     front.until(lambda: len(connection.first) >= READ_AHEAD)
@@ -231,3 +234,34 @@
     front.hold.set(True)
     for sock in (*busy, turned, waiting, beyond):
         sock.close()
+
+
+@pytest.mark.parametrize("how", ["the listener closes", "its time is over", "its descriptor is wanted"])
+def test_an_answer_that_is_being_written_is_written_whole_whatever_ends_meanwhile(front: Front, how: str) -> None:
+    """Its request was no longer in work, so that the connection was taken for an idle one and cut off."""
+    front.body = b"x" * 12_000_000  # more than the sockets hold
+    sock = front.client(ASK)
+    front.until(lambda: any(each.link.unsent for each in front.server.connections))
+    (connection,) = front.server.connections
+    if how == "the listener closes":
+        front.server.close()
+    elif how == "its time is over":
+        connection.deadline, connection.timer_set = 0.0, False
+        connection.check_silence()
+    else:
+        assert not front.server.make_room()
+    assert not connection.leaving and not connection.link.closed
+    sock.settimeout(WAIT)
+    got, done = bytearray(), len(front.body)
+    sock.setblocking(False)
+
+    def read() -> bool:
+        try:
+            got.extend(sock.recv(1 << 20))
+        except BlockingIOError:
+            pass
+        return len(got) > done
+
+    front.until(read)
+    assert got.endswith(front.body[-1000:])
+    sock.close()
