--- a/stepknot/boxes/pool.py
+++ b/stepknot/boxes/pool.py
@@ -95,7 +95,7 @@
                     self.capped += 1
                     exchange.end(None, Outcome.NOT_CONNECTED, f"{self.most} connections are in use")
                     return
-                if self.open >= self.in_all and not self.spare_one():
+                if self.open >= self.in_all and not self.evict_idle():
                     self.capped += 1
                     exchange.end(None, Outcome.NOT_CONNECTED, f"all {self.in_all} connections to boxes are in use")
                     return
@@ -179,12 +179,12 @@
         box.open -= 1
         self.open -= 1
 
-    def spare_one(self) -> bool:
+    def evict_idle(self) -> bool:
         """Close the idle connection that was used least lately; whether there was one."""
-        resting = [box for box in self.boxes.values() if box.idle]
-        if not resting:
+        idle = [box for box in self.boxes.values() if box.idle]
+        if not idle:
             return False
-        box = min(resting, key=lambda each: each.idle[0][1])
+        box = min(idle, key=lambda each: each.idle[0][1])
         self.drop(box, box.idle.popleft()[0])
         return True
 
--- a/stepknot/boxes/rest.py
+++ b/stepknot/boxes/rest.py
@@ -71,7 +71,7 @@
                 parcel.ride = None
                 self.on_reply(parcel, reply, load)
 
-    def give_up(self, parcel: Parcel) -> None:
+    def cancel(self, parcel: Parcel) -> None:
         call, parcel.ride = parcel.ride, None
         if call is not None:
             call.live -= 1
--- a/stepknot/boxes/side.py
+++ b/stepknot/boxes/side.py
@@ -28,14 +28,14 @@
 
 
 class Boxes(Protocol):
-    """Each parcel sent ends once: by a call of `on_reply`, or by `give_up`."""
+    """Each parcel sent ends once: by a call of `on_reply`, or by `cancel`."""
 
     on_reply: OnReply
 
     def send(self, server: str, parcels: list[Any]) -> int:
         """What goes to one box in one turn; the number of calls in which it travels."""
 
-    def give_up(self, parcel: Any) -> None:
+    def cancel(self, parcel: Any) -> None:
         """Nobody waits for it any more."""
 
     def unsent(self, parcel: Any) -> bool:
--- a/stepknot/broker/core.py
+++ b/stepknot/broker/core.py
@@ -319,7 +319,7 @@
             if self.zones.changes:
                 self.tell_changes()
         if attempt.ride is not None:
-            self.boxes.give_up(attempt)
+            self.boxes.cancel(attempt)
         self.post(api.AttemptEnded(piece.part_id, attempt.number, attempt.server, outcome,
                                    now - attempt.sent, False, load))
 
--- a/stepknot/fronts/graphql/app.py
+++ b/stepknot/fronts/graphql/app.py
@@ -142,7 +142,7 @@
         weight = weight_of(plan)
         reserve = min(self.pace * weight, seconds * LARGEST_RESERVE)
         own = Client(seconds - reserve, client.tenant, client.name, client.class_name, client.arrived)
-        runner = Runner(self.queries, planner, own, connection.on_hang_up, deadline - reserve)
+        runner = Runner(self.queries, planner, own, connection.on_disconnect, deadline - reserve)
         try:
             values = yield from runner.run(plan)
         except ClientGone:
--- a/stepknot/fronts/search/app.py
+++ b/stepknot/fronts/search/app.py
@@ -142,11 +142,11 @@
         check_params(request, SEARCH)
         body = self.body(request)
         status, answer, headers = yield from self.one_search(
-            names, body, request.query, self.client(request, self.time_of(request, body)), connection.on_hang_up)
+            names, body, request.query, self.client(request, self.time_of(request, body)), connection.on_disconnect)
         return reply(status, answer, headers) if answer is not None else None
 
     def one_search(self, names: str, body: Any, params: dict[str, str], client: Client,
-                   on_hang_up: Any) -> Generator[Park, Any, tuple[int, Any, list[tuple[str, str]]]]:
+                   on_disconnect: Any) -> Generator[Park, Any, tuple[int, Any, list[tuple[str, str]]]]:
         search = parse_search(body, params, self.config.window)
         if params.get("search_type", "query_then_fetch") != "query_then_fetch":
             raise unsupported(f"search_type: {params['search_type']}", "search")
@@ -154,7 +154,7 @@
         targets = self.queries.targets(indices, params.get("routing", ""), preferred(params.get("preference", "")))
         operation = "search"
         outcome: Outcome = yield from self.queries.search(search, targets, operation, client,
-                                                          params.get("routing", ""), on_hang_up)
+                                                          params.get("routing", ""), on_disconnect)
         if outcome.result is None or not outcome.in_time:
             return 0, None, []
         if outcome.result.status is not Status.ANSWERED:
@@ -179,7 +179,7 @@
         yield from self.queries.indices.learn(
             each for header in lines[::2] for each in names_of((header or {}).get("index", "")))
         begun = self.core.loop.now
-        party = Party(self.core.loop, connection.on_hang_up)
+        party = Party(self.core.loop, connection.on_disconnect)
         for place in range(0, len(lines), 2):
             header, body = lines[place] or {}, lines[place + 1] or {}
             params = {key: str(value).lower() if isinstance(value, bool) else str(value)
@@ -195,13 +195,13 @@
             responses.append({**answer, "status": status})
         return reply(200, {"took": int((self.core.loop.now - begun) * 1000), "responses": responses})
 
-    def guarded(self, names: str, body: Any, params: dict[str, str], client: Client, on_hang_up: Any) -> Any:
+    def guarded(self, names: str, body: Any, params: dict[str, str], client: Client, on_disconnect: Any) -> Any:
         """One of several searches: its error is its own."""
         try:
             for key in params:
                 if key not in SEARCH | COMMON:
                     raise unsupported(key, "msearch header")
-            return (yield from self.one_search(names, body, params, client, on_hang_up))
+            return (yield from self.one_search(names, body, params, client, on_disconnect))
         except RequestError as error:
             return error.status, replies.error_body(error.status, error.type, error.reason), []
 
@@ -217,7 +217,7 @@
                                        preferred(request.query.get("preference", "")))
         outcome: Outcome = yield from self.queries.search(
             search, targets, "count", self.client(request, self.time_of(request, None)),
-            request.query.get("routing", ""), connection.on_hang_up)
+            request.query.get("routing", ""), connection.on_disconnect)
         if outcome.result is None or not outcome.in_time:
             return None
         if outcome.result.status is not Status.ANSWERED:
@@ -244,7 +244,7 @@
         target = self.queries.shard(self.queries.indices.get(name), request.query.get("routing") or identity)
         outcome: Outcome = yield from self.queries.documents(
             [(target, identity)], source_body(parse_source({}, request.query)), "get",
-            self.client(request, self.time_of(request, None)), connection.on_hang_up)
+            self.client(request, self.time_of(request, None)), connection.on_disconnect)
         if outcome.result is None or not outcome.in_time:
             return None
         if outcome.result.status is not Status.ANSWERED:
@@ -277,7 +277,7 @@
                            str(each["_id"])))
         outcome: Outcome = yield from self.queries.documents(
             wanted, source_body(parse_source({}, request.query)), "mget",
-            self.client(request, self.time_of(request, None)), connection.on_hang_up)
+            self.client(request, self.time_of(request, None)), connection.on_disconnect)
         if outcome.result is None or not outcome.in_time:
             return None
         if outcome.result.status is not Status.ANSWERED:
@@ -301,7 +301,7 @@
         target = self.queries.shard(index, routing or identity)
         outcome, _ = yield from self.queries.write(
             [Write(action, target, identity, routing, body)], action, self.client(request, self.time_of(request, None)),
-            refresh_of(request), connection.on_hang_up)
+            refresh_of(request), connection.on_disconnect)
         if outcome.result is None or not outcome.in_time:
             return None
         if outcome.result.status is not Status.ANSWERED:
@@ -348,7 +348,7 @@
             raise RequestError("Validation Failed: 1: no requests added;", "action_request_validation_exception")
         outcome, places = yield from self.queries.write(
             writes, "bulk", self.client(request, self.time_of(request, None)), refresh_of(request),
-            connection.on_hang_up)
+            connection.on_disconnect)
         if outcome.result is None or not outcome.in_time:
             return None
         if outcome.result.status is not Status.ANSWERED:
--- a/stepknot/net/loop.py
+++ b/stepknot/net/loop.py
@@ -460,7 +460,7 @@
             self.can_read = False  # the next edge says when there is more
         return data
 
-    def hung_up(self) -> bool:
+    def disconnected(self) -> bool:
         """Whether the peer is gone for all that can be known now, also where the loop was not told yet."""
         return self.peer_closed or self.closed or self.peek() == b""
 
--- a/stepknot/net/server.py
+++ b/stepknot/net/server.py
@@ -54,10 +54,10 @@
         self.gone: Callable[[], None] | None = None  # called when the client hangs up during a request
         link.on_peer_closed, link.on_readable = self.on_peer_closed, self.read_ahead
         self.deadline = 0.0
-        self.allow(server.limits.first_byte)
+        self.set_deadline(server.limits.first_byte)
         self.task = server.loop.spawn(self.serve(), "connection", patient=True)
 
-    def allow(self, seconds: float) -> None:
+    def set_deadline(self, seconds: float) -> None:
         self.deadline = self.server.loop.now + seconds
         if not self.timer_set:
             self.timer_set = True
@@ -75,11 +75,11 @@
             self.server.loop.call_later(left, self.check_silence)
         elif self.parser.started:
             if self.link.reader is None:  # after a stall: what came waits for its turn to be read
-                self.allow(ROOM_LOOK)
+                self.set_deadline(ROOM_LOOK)
             else:
                 self.end_slow()
         elif self.link.peek():  # just come, and not read yet
-            self.allow(LINGER)
+            self.set_deadline(LINGER)
         else:
             self.server.silent += 1
             self.leave()
@@ -112,7 +112,7 @@
         if self.leaving or self.link.closed:
             return
         self.leaving = True
-        self.server.resting.pop(self, None)
+        self.server.idle.pop(self, None)
         try:
             self.link.sock.shutdown(socket.SHUT_WR)
         except OSError:  # the peer is gone
@@ -172,7 +172,7 @@
             gone, self.gone = self.gone, None
             gone()
 
-    def on_hang_up(self, gone: Callable[[], None]) -> None:
+    def on_disconnect(self, gone: Callable[[], None]) -> None:
         """Whom to call when the client hangs up during this request: at once where it has already."""
         self.gone = gone
         if self.link.peer_closed:
@@ -190,7 +190,7 @@
             self.link.close()
             self.link.on_peer_closed = self.link.on_readable = self.parser.parser = None  # rings: with link and parser
             self.server.connections.discard(self)
-            self.server.resting.pop(self, None)
+            self.server.idle.pop(self, None)
             if self.server.gate is not None:
                 self.server.gate.gone(self.number)
 
@@ -207,7 +207,7 @@
                 if self.leaving:
                     return
                 data, self.first = self.first or (yield from link.recv(CHUNK)), b""
-                server.resting.pop(self, None)
+                server.idle.pop(self, None)
                 if not data or self.leaving:
                     return
                 begun = parser.started
@@ -231,21 +231,21 @@
                     parser.expects = False
                     yield from link.send(b"HTTP/1.1 100 Continue\r\n\r\n", server.limits.write)
                 if parser.started and not begun:
-                    self.allow(server.limits.body_time)
+                    self.set_deadline(server.limits.body_time)
                     self.watch()
             if not (yield from self.serve_ready()):
                 return
             if parser.started:
                 self.begun, self.received = server.loop.now, 0
-                self.allow(server.limits.body_time)
+                self.set_deadline(server.limits.body_time)
                 self.watch()
                 if gate is not None:
                     gate.let_go(self, parser.size)
             else:
                 if gate is not None:
                     gate.settle(self)
-                self.allow(gate.keep_alive(server.limits.idle) if gate is not None else server.limits.idle)
-                server.rest(self)
+                self.set_deadline(gate.keep_alive(server.limits.idle) if gate is not None else server.limits.idle)
+                server.note_idle(self)
 
     def wait_for_room(self, size: int) -> Generator[Park, Any, bool]:
         """Nothing more is read from this sender until there is room for what it sent; not for ever."""
@@ -288,7 +288,7 @@
         # the bytes were there long before and are read only now.
         requests, arrived = self.parser.requests, max(self.link.heard_at, self.free_at)
         while requests:
-            if self.link.hung_up():  # most of a backlog after a stall: nobody waits for it
+            if self.link.disconnected():  # most of a backlog after a stall: nobody waits for it
                 self.server.deserted += len(requests)
                 return False
             request = requests.popleft()
@@ -351,8 +351,8 @@
         self.silent = 0  # connections closed for silence
         self.most = math.inf  # connections, where no gate looks after them
         self.turned_away = 0  # of them, ended or not taken to stay under it
-        self.most_resting = math.inf  # of them between two requests
-        self.resting: dict[Connection, None] = {}  # the longest at rest first
+        self.most_idle = math.inf  # of them between two requests
+        self.idle: dict[Connection, None] = {}  # the longest at rest first
         self.deserted = 0  # requests whose client was gone before their turn came
         self.listener: Listener = loop.listen(host, port, self.on_accept)
 
@@ -364,28 +364,28 @@
         if self.gate is not None:
             self.gate.arrive(self, link, peer)
         else:
-            full = len(self.connections) >= self.most and not self.make_room()
+            full = len(self.connections) >= self.most and not self.evict()
             self.turned_away += full
             if full and len(self.connections) >= self.most * (1 + TURNED_SHARE):
                 link.close()
             else:
                 self.connections.add(Connection(self, link, peer, unwelcome=full))
 
-    def rest(self, connection: Connection) -> None:
+    def note_idle(self, connection: Connection) -> None:
         """It is between two requests from now on; beyond the bound whoever is so for longest is ended."""
-        self.resting[connection] = None
-        while len(self.resting) > self.most_resting:
-            longest = next(iter(self.resting))
-            del self.resting[longest]
+        self.idle[connection] = None
+        while len(self.idle) > self.most_idle:
+            longest = next(iter(self.idle))
+            del self.idle[longest]
             longest.leave_unless_asked()
 
-    def make_room(self) -> bool:
+    def evict(self) -> bool:
         """End the connection that is missed least, whether there was one: the one that has been without a whole request
         for longest, be it between two, silent or in the midst of one. One that just came is about to ask, and goes
         last; one whose next bytes wait unread is none of them. Before all come those that were parted with."""
-        resting = [each for each in self.connections
+        idle = [each for each in self.connections
                    if not each.busy and not each.link.closed and (each.leaving or not each.link.unsent)]
-        for each in sorted(resting, key=lambda each: (not each.leaving, max(each.begun, each.free_at))):
+        for each in sorted(idle, key=lambda each: (not each.leaving, max(each.begun, each.free_at))):
             if each.leaving or not each.first and each.link.peek() is None:
                 self.turned_away += 1
                 each.link.close()
--- a/stepknot/platform/frames.py
+++ b/stepknot/platform/frames.py
@@ -71,7 +71,7 @@
     return frame(b"R", b"".join(pieces))
 
 
-def give_up(part: bytes) -> bytes:
+def cancel(part: bytes) -> bytes:
     return frame(b"A", part)
 
 
--- a/stepknot/platform/nodes.py
+++ b/stepknot/platform/nodes.py
@@ -29,7 +29,7 @@
 
 CHUNK = 64 * 1024
 IDLE_SHARE = 0.8  # of the idle time after which nodes close: ours comes first
-MOST_GIVEN_UP = 1024  # ids a connection remembers as given up; an answer to an older one spoils it
+MOST_CANCELLED = 1024  # ids a connection remembers as given up; an answer to an older one spoils it
 OnProbe = Callable[[Outcome, Load], None]
 
 
@@ -60,7 +60,7 @@
     since: float  # when it was last in use
     link: Link | None = None  # none while it is not up
     waiting: dict[bytes, Parcel] = field(default_factory=dict)  # by part id
-    given_up: dict[bytes, None] = field(default_factory=dict)  # ids that may still be answered
+    cancelled: dict[bytes, None] = field(default_factory=dict)  # ids that may still be answered
     queue: deque[Frame] = field(default_factory=deque)
     probes: dict[bytes, OnProbe | None] = field(default_factory=dict)  # by letter; None: nobody waits any more
     silent_since: float = math.inf  # the first moment at which something was asked that nothing came after
@@ -72,7 +72,7 @@
         return self.link is not None and not self.waiting and not self.queue and not any(self.probes.values())
 
     def may_bring(self, part: bytes) -> bool:
-        return part in self.waiting or part in self.given_up
+        return part in self.waiting or part in self.cancelled
 
 
 @dataclass(slots=True, eq=False)
@@ -183,7 +183,7 @@
         self.dirty[conn] = None
         self.loop.again = True
 
-    def give_up(self, parcel: Parcel) -> None:
+    def cancel(self, parcel: Parcel) -> None:
         ride, parcel.ride = parcel.ride, None
         if ride is None:
             return
@@ -195,10 +195,10 @@
         if not frame.taken and not any(each.ride for each in frame.parcels):
             self.end(conn, "half a call that nobody waits for")  # its last byte would begin it
             return
-        conn.given_up[part] = None
-        if len(conn.given_up) > MOST_GIVEN_UP:
-            del conn.given_up[next(iter(conn.given_up))]
-        self.put(conn, Frame([], self.loop.now, frames.give_up(part)))
+        conn.cancelled[part] = None
+        if len(conn.cancelled) > MOST_CANCELLED:
+            del conn.cancelled[next(iter(conn.cancelled))]
+        self.put(conn, Frame([], self.loop.now, frames.cancel(part)))
 
     def expect_no_more(self, conn: Connection, part: bytes) -> None:
         conn.waiting.pop(part, None)
@@ -278,7 +278,7 @@
     # --- one connection
 
     def connect(self, node: Node) -> Connection | None:
-        if self.open() >= self.most and not self.spare_one():
+        if self.open() >= self.most and not self.evict_idle():
             self.capped += 1
             return None
         conn = Connection(node, self.loop.now)
@@ -327,7 +327,7 @@
             case frames.PartEnded():
                 parcel = conn.waiting.get(message.part)
                 if parcel is None:
-                    return conn.given_up.pop(message.part, self) is None
+                    return conn.cancelled.pop(message.part, self) is None
                 if not parcel.ride.frame.taken:
                     return False
                 del conn.waiting[message.part]
@@ -428,12 +428,12 @@
             if conn.idle:
                 self.end(conn, "closed here")
 
-    def spare_one(self) -> bool:
+    def evict_idle(self) -> bool:
         """Close the idle connection that was used least lately; whether there was one."""
-        resting = [conn for conn in self.all() if conn.idle]
-        if resting:
-            self.end(min(resting, key=lambda each: each.since), "its descriptor is needed")
-        return bool(resting)
+        idle = [conn for conn in self.all() if conn.idle]
+        if idle:
+            self.end(min(idle, key=lambda each: each.since), "its descriptor is needed")
+        return bool(idle)
 
     def close(self) -> None:
         for conn in self.all():
--- a/stepknot/platform/service.py
+++ b/stepknot/platform/service.py
@@ -30,7 +30,7 @@
 REST = 2.05
 LIMITS = HttpLimits(header=8 * 1024, url=1024, body=64 * 1024, first_byte=REST, body_time=REST, idle=REST, write=3.0)
 CLIENTS_SHARE = 0.6  # of the descriptors; a third is what clients hold for requests
-RESTING_SHARE = 0.2  # between two requests: who asks anew must find that third not used up by those that stay
+IDLE_CLIENTS_SHARE = 0.2  # between two requests: who asks anew must find that third not used up by those that stay
 OWN = 16  # descriptors for the loop, the listener, discovery and the logs
 STAY = 0.5  # seconds for which new connections still come after SIGTERM
 READY_WITHIN = 2.0  # seconds after which the list as last had must do, also where lists are pushed
@@ -64,7 +64,7 @@
         self.open: set[str] = set()  # ids of clients' requests in work
         self.server = Server(loop, *config.listen, self.handle, LIMITS, self.http_error)
         self.server.most, self.server.one_at_a_time = self.most_clients(), True
-        self.server.most_resting = config.sockets * RESTING_SHARE
+        self.server.most_idle = config.sockets * IDLE_CLIENTS_SHARE
 
     def ready(self) -> bool:
         """Where lists are pushed, a new process is held to what discovery has before it heard of it."""
@@ -113,7 +113,7 @@
         self.open.add(ask.name)
         try:
             self.core.ask(ask)
-            connection.on_hang_up(lambda: self.core.gone(ask))
+            connection.on_disconnect(lambda: self.core.gone(ask))
             result = yield from ask.done.wait()
         finally:
             self.open.discard(ask.name)
--- a/tests/net/test_server.py
+++ b/tests/net/test_server.py
@@ -34,7 +34,7 @@
         self.taken.append(request)
         hold = self.hold
         if hold is not None:
-            connection.on_hang_up(lambda: (self.disconnected(), hold.set(False)) and None)
+            connection.on_disconnect(lambda: (self.disconnected(), hold.set(False)) and None)
             if (yield from hold.wait()) is False:
                 return None
         return Response(200, self.body)
@@ -249,7 +249,7 @@
         connection.deadline, connection.timer_set = 0.0, False
         connection.check_silence()
     else:
-        assert not front.server.make_room()
+        assert not front.server.evict()
     assert not connection.leaving and not connection.link.closed
     sock.settimeout(WAIT)
     got, done = bytearray(), len(front.body)
--- a/tests/platform/test_frames.py
+++ b/tests/platform/test_frames.py
@@ -16,8 +16,8 @@
     ProbeAnswered,
     Reader,
     call,
+    cancel,
     frame,
-    give_up,
     probe,
     read_load,
 )
@@ -29,7 +29,7 @@
     parts = [(Part(b"9b1f.3", 3, b"c41e77d0", "5c0f"), 0.24), (Part(b"9b1f.4", 4, b"c41e77d0"), 0.0001)]
     rest = b"9b1f.3 3 d=240,k=5c0f 8\nc41e77d09b1f.4 4 d=1 8\nc41e77d0"
     assert call(parts) == (len(rest) + 1).to_bytes(4, "little") + b"R" + rest
-    assert give_up(b"9b1f.3") == b"\x07\0\0\0A9b1f.3"
+    assert cancel(b"9b1f.3") == b"\x07\0\0\0A9b1f.3"
     assert probe(b"T") == b"\x01\0\0\0T"
 
 
--- a/tests/platform/test_hard_cases.py
+++ b/tests/platform/test_hard_cases.py
@@ -229,7 +229,7 @@
             conn.since = -1e9  # idle for longer than any node allows
             nodes.send("s-0", [part])
             nodes.sweep()
-            return nodes.spare_one(), conn.ended
+            return nodes.evict_idle(), conn.ended
 
         assert found.call(cross) == (False, False)
         until(lambda: len(found.nodes[0].calls) == 2)
--- a/tests/platform/test_nodes.py
+++ b/tests/platform/test_nodes.py
@@ -75,7 +75,7 @@
         stayer.sock.sendall(found.request(x_txn="b"))
         until(lambda: len(found.nodes[0].calls) == 2)
         leaver.sock.close()
-        until(lambda: found.nodes[0].given_up == ["a.0"])
+        until(lambda: found.nodes[0].cancelled == ["a.0"])
         call = found.nodes[0].calls[0]
         call.send(answer("a.0", "late"))  # crossed with its being given up
         call.send(answer("b.0", "v0"))
@@ -91,7 +91,7 @@
         first.sock.sendall(found.request(x_txn="a"))
         until(lambda: len(found.nodes[0].calls) == 1)
         first.sock.close()
-        until(lambda: part in found.nodes[0].given_up and not service.open)
+        until(lambda: part in found.nodes[0].cancelled and not service.open)
         again = found.client()
         again.sock.sendall(found.request(x_txn="a"))
         until(lambda: len(found.nodes[0].calls) == 2)
@@ -181,7 +181,7 @@
         assert found.ask(x_remaining="600m").status == 503
         until(lambda: not found.service.core.out)
         conn, = connections(found)
-        assert not conn.waiting and found.nodes[0].given_up == [f"t{found.asked:06d}.0"]
+        assert not conn.waiting and found.nodes[0].cancelled == [f"t{found.asked:06d}.0"]
 
 
 def test_a_connection_that_falls_silent_is_left_for_another_while_its_node_serves() -> None:
@@ -204,7 +204,7 @@
         client.sock.sendall(found.request(x_txn="a"))
         until(lambda: node.calls)
         client.sock.close()
-        until(lambda: node.given_up)
+        until(lambda: node.cancelled)
         pause(0.4)
         node.script = Call.answer
         assert found.ask().status == 200 and len(node.socks) == 1
@@ -253,8 +253,8 @@
         found.call(send)
         sock, _ = listener.accept()
         until(lambda: connections(found)[0].flushing)
-        found.call(lambda: nodes.give_up(parcels[-1]))  # unwritten: nothing is said of it
-        assert len(connections(found)[0].given_up) == 0
+        found.call(lambda: nodes.cancel(parcels[-1]))  # unwritten: nothing is said of it
+        assert len(connections(found)[0].cancelled) == 0
         sock.close()
         until(lambda: len(ended) == 299)
         assert {Outcome.RESET, Outcome.NOT_CONNECTED} == set(ended)
@@ -278,7 +278,7 @@
         sock.settimeout(WAIT)
         until(lambda: connections(found)[0].flushing)
         assert all(frame.data for frame in connections(found)[0].queue)  # in bytes already
-        found.call(lambda: nodes.give_up(parcels[-1]))
+        found.call(lambda: nodes.cancel(parcels[-1]))
         data = b""
         while b"a298.0 " not in data[-40_000:]:
             data += sock.recv(1 << 20)
@@ -362,7 +362,7 @@
             core.held, core.pieces, core.out, core.expiries, module.queries, module.fresh, module.attempts,
             service.open)])
         assert tables == [0] * len(tables)
-        assert found.call(lambda: sum(len(conn.given_up) for conn in service.nodes.all())) <= 10
+        assert found.call(lambda: sum(len(conn.cancelled) for conn in service.nodes.all())) <= 10
         assert len(service.nodes.nodes) <= 8 and len(core.servers) <= 8 and len(module.capsules) <= 8
 
 
@@ -458,7 +458,7 @@
     with world(streams_per_conn=400) as found:
         queued = Queued(found)
         half = queued.half_written()
-        found.call(lambda: queued.nodes.give_up(half))
+        found.call(lambda: queued.nodes.cancel(half))
         until(queued.conn_gone)
         data = queued.read_all()
         assert len(queued.ended) == len(queued.parcels) - 1  # the others ended as the connection did
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -187,7 +187,7 @@
         client.sock.sendall(found.request(x_txn="gone"))
         until(lambda: found.nodes[0].calls)
         client.sock.close()
-        until(lambda: found.nodes[0].given_up == ["gone.0"])
+        until(lambda: found.nodes[0].cancelled == ["gone.0"])
         assert found.service.core.counts["gone"] == 1  # not given up for its time
         assert not found.call(lambda: (found.service.core.held, found.service.core.out, found.service.open))[0]
 
@@ -243,7 +243,7 @@
 def test_those_that_asked_once_and_stay_are_bounded_and_the_latest_are_kept() -> None:
     with world() as found:
         server = found.service.server
-        found.call(lambda: setattr(server, "most_resting", 5))
+        found.call(lambda: setattr(server, "most_idle", 5))
         clients = [found.client() for _ in range(12)]
         for client in clients:
             client.sock.sendall(found.request())
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -79,7 +79,7 @@
     def __init__(self, script: Script = Call.answer) -> None:
         self.script = script
         self.calls: list[Call] = []
-        self.given_up: list[str] = []
+        self.cancelled: list[str] = []
         self.probes = 0
         self.on_probe: Callable[[socket.socket], None] = lambda sock: sock.sendall(frame("T", b"inflight=0,util=0.1"))
         self.ended = 0  # connections that the broker ended
@@ -99,7 +99,7 @@
 
     def take(self, sock: socket.socket, letter: bytes, rest: bytes) -> None:
         if letter == b"A":
-            self.given_up.append(rest.decode())
+            self.cancelled.append(rest.decode())
         elif letter == b"T":
             self.probes += 1
             self.on_probe(sock)
