--- a/tests/platform/test_hard_cases.py
+++ b/tests/platform/test_hard_cases.py
@@ -152,13 +152,21 @@
         assert sum(len(node.calls) for node in found.nodes) == 1  # nothing began after it had left
 
 
+def full(found: World) -> tuple[socket.socket, socket.socket]:
+    """s-0 is where the queue is full, from now on: a connection comes up there once the kernel tries again after there
+    is room. The listener, and who fills its queue."""
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(0)
+    listener.settimeout(WAIT)
+    filler = socket.create_connection(listener.getsockname())
+    move(found, listener)
+    return listener, filler
+
+
 def test_where_nothing_may_be_cancelled_what_waits_unsent_goes_with_its_client() -> None:
     with world(cancelling=False, streams_per_conn=1) as found:
-        listener = socket.socket()  # its queue is full: a connection there does not come up
-        listener.bind(("127.0.0.1", 0))
-        listener.listen(0)
-        filler = socket.create_connection(listener.getsockname())
-        move(found, listener)
+        listener, filler = full(found)
         client = found.client()
         client.sock.sendall(found.request())
         until(lambda: found.service.core.out)
@@ -237,12 +245,7 @@
 
 def test_a_connection_that_comes_up_after_its_parts_ended_is_sent_nothing() -> None:
     with world(connect_timeout_ns=5e9) as found:
-        listener = socket.socket()  # its queue is full: a connection there comes up once the kernel tries again
-        listener.bind(("127.0.0.1", 0))
-        listener.listen(0)
-        listener.settimeout(WAIT)
-        filler = socket.create_connection(listener.getsockname())
-        move(found, listener)
+        listener, filler = full(found)
         client = found.client()
         client.sock.sendall(found.request())
         until(lambda: found.service.core.out)
