Whether a connection has anything in work is asked in one place

That an answer still being written is no idle connection stood at three places by itself (its time, the end of the listener, eviction), each mended apart.

--- a/stepknot/net/server.py
+++ b/stepknot/net/server.py
@@ -68,7 +68,7 @@
         if self.link.closed or self.leaving:
             return
         left = self.deadline - self.server.loop.now
-        if self.busy or self.link.unsent:  # a request is in work, or its answer: their own time bounds them
+        if self.in_work:  # its own time bounds it
             left = max(left, self.server.limits.idle)
         if left > 0:
             self.timer_set = True
@@ -120,9 +120,13 @@
             return
         self.server.loop.call_later(LINGER, self.link.close)
 
+    @property
+    def in_work(self) -> bool:
+        """A request is, or its answer is still being written: nothing may end the connection but its peer."""
+        return self.busy or self.link.unsent > 0
+
     def leave_unless_asked(self) -> None:
-        idle = not self.busy and not self.link.unsent and not self.parser.started and not self.first
-        if idle and self.link.peek() is None:
+        if not self.in_work and not self.parser.started and not self.first and self.link.peek() is None:
             self.leave()
 
     def drain(self) -> Coroutine:
@@ -383,8 +387,7 @@
         """End the connection that is missed least, whether there was one: the one that has been without a whole request
         for longest, be it between two, silent or in the midst of one. One that just came is about to ask, and goes
         last; one whose next bytes wait unread is none of them. Before all come those that were parted with."""
-        idle = [each for each in self.connections
-                   if not each.busy and not each.link.closed and (each.leaving or not each.link.unsent)]
+        idle = [each for each in self.connections if not each.link.closed and (each.leaving or not each.in_work)]
         for each in sorted(idle, key=lambda each: (not each.leaving, max(each.begun, each.free_at))):
             if each.leaving or not each.first and each.link.peek() is None:
                 self.turned_away += 1
