--- a/tests/net/test_server.py
+++ b/tests/net/test_server.py
@@ -265,3 +265,12 @@
     front.until(read)
     assert got.endswith(front.body[-1000:])
     sock.close()
+
+
+def test_a_connection_that_comes_while_the_front_still_sends_is_waited_for(front: Front) -> None:
+    front.server.leaving = True
+    sock = front.client()
+    front.until(lambda: any(each.leaving or each.link.reader for each in front.server.connections))
+    sock.sendall(ASK)
+    assert b" 200 " in front.answer_to(sock)
+    sock.close()
