--- a/bench/shares.py
+++ b/bench/shares.py
@@ -13,7 +13,8 @@
 
 HEART = ("stepknot/logic.py", "stepknot/records.py", "stepknot/interface.py", "stepknot/benchlink.py",
          "stepknot/broker/", "stepknot/boxes/", "stepknot/discovery/", "stepknot/search/", "stepknot/zones/",
-         "stepknot/admission/", "stepknot/peers/", "stepknot/ownership/", "stepknot/net/loop.py",
+         "stepknot/admission/", "stepknot/peers/", "stepknot/ownership/", "stepknot/subsets/",
+         "stepknot/net/loop.py",
          "stepknot/platform/nodes.py", "stepknot/platform/discovery.py")
 
 
--- a/stepknot/interface.py
+++ b/stepknot/interface.py
@@ -122,6 +122,7 @@
     size: float = 1.0
     up_since: float = 0.0  # 0: long ago
     kind: str = ""  # of machine
+    sharers: float = 0.0  # no more instances than this may send to it while it is cold (0: all may)
 
 
 # Which of a part's candidates may be chosen, by their places. For rules of the caller that are not of one
--- a/stepknot/logic.py
+++ b/stepknot/logic.py
@@ -324,7 +324,7 @@
         age = max(self.now - capsule.entry.up_since, 0.0)
         able = rules.cold_share + (1 - rules.cold_share) * age / rules.cold_time
         cost, room = self.work_of(name), rules.fall_multiple * able * rules.fall_time
-        fair = COLD_USE * room / self.instances
+        fair = COLD_USE * room / (capsule.entry.sharers or self.instances)
         while spent and spent[0][0] <= self.now - rules.fall_time:
             spent.popleft()
         left = fair - sum(work for _, work in spent)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -6,7 +6,7 @@
 ROOT = Path(__file__).parent.parent / "stepknot"
 # From the top. A package imports from those below it only; the laboratory imports all but the command line.
 ORDER = ["cli", "lab", "platform", "fronts", "broker", "discovery", "boxes", "search", "config", "net",
-         "admission", "zones", "ownership", "peers", "library"]
+         "admission", "zones", "ownership", "peers", "subsets", "library"]
 LIBRARY = {"logic", "records", "interface", "benchlink", "__init__"}
 
 
@@ -51,7 +51,7 @@
 def test_decisions_of_subsystems_have_no_io_no_clock_and_no_chance_of_their_own() -> None:
     """Steps of the wall's clock, a slow disk or a full socket cannot reach what is not imported."""
     found = []
-    for package in ("ownership", "peers", "zones"):
+    for package in ("ownership", "peers", "subsets", "zones"):
         for path in (ROOT / package).glob("*.py"):
             for node in ast.walk(ast.parse(path.read_text())):
                 names = [node.module or ""] if isinstance(node, ast.ImportFrom) else [
