A drain that ends between the look and the undo no longer fails the ownership fixture

Cause: the fixture read that a drain ran and asserted that the undo was taken. A drain that ended in between had the order refused (status 409, "no drain runs: done"), and the next test errored though nothing was wrong.

The fixture still checks that an undo is taken: it fails where the command ends otherwise than with 0, but for one case: the status read was running or halted, the exit code is 1 and the refusal's reason is "no drain runs: done" to its end. A drain that was stopped cannot end by itself, so that refusal still fails there. New: it also waits until the agreed record shows no drain in force, which it took for granted.

--- a/tests/ownership/test_processes.py
+++ b/tests/ownership/test_processes.py
@@ -26,6 +26,7 @@
 
 LEASE = 0.8
 VOTERS = ["b0", "b1", "b2"]
+ACTIVE = {"running", "halted", "stopped"}  # of a drain that has not ended
 Row = tuple[int, int, tuple[str, ...], str]  # epoch, step, what is out, status
 
 
@@ -69,6 +70,15 @@
     def said(self, name: str, *words: str) -> subprocess.CompletedProcess[str]:
         return run("drain", f"127.0.0.1:{self[name].admin}", *words)
 
+    def undo_drain(self, by: str) -> None:
+        """No drain is left. One that is stopped waits for an operator; another may end between the look and the order,
+        and then the order is refused for just that reason."""
+        status = self.drains(by)["status"]
+        if status in ACTIVE:
+            said = self.said(by, "--undo")
+            ended = said.returncode == 1 and 'no drain runs: done"' in said.stderr
+            assert said.returncode == 0 or status != "stopped" and ended, (status, said.returncode, said.stderr)
+
     def folder(self, name: str) -> Path:
         return self.fleet.folder / f"votes-{name}"
 
@@ -135,9 +145,9 @@
             running.start(name)
     running.agree()
     running.wait_owner()
-    if running.drains("b0")["status"] in ("running", "halted", "stopped"):
-        assert running.said("b0", "--undo").returncode == 0
-    running.until(lambda: len({tuple(running.job(name)["version"]) for name in running.names}) == 1)
+    running.undo_drain("b0")
+    running.until(lambda: len({tuple(running.job(name)["version"]) for name in running.names}) == 1
+                  and running.drains("b0")["status"] not in ACTIVE)
     for broker in running.fleet.brokers:
         (running.fleet.folder / f"broker-{broker.number}.log").write_bytes(b"")
     return running
