The subset block, and the subset between the list and the core

Need: the decisions of stepknot/subsets were carried out nowhere. Change: config/subset.py reads the block (identity, size, holders, near; zone and tiers from their own places) and tells contradictions with file and line. broker/subsetting.py takes lists in slices of 2 ms of a turn, hands the core one event of 32 entries a turn, follows membership's count, wakes when a cold node is warm, and puts the whole list in the subset's place after a defect of its own. Events subset_changed (8 by themselves, more as one), subset_off, list_names_this_broker; metrics; /subset on the admin socket and stepknot subset; stepknot check says whether it is on. Without the block nothing of it is loaded, by the platform's process neither. The laboratory's fleet can give its brokers the block.

--- a/stepknot/broker/service.py
+++ b/stepknot/broker/service.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from dataclasses import asdict, replace
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import orjson
 from prometheus_client import CollectorRegistry, generate_latest
@@ -55,6 +55,12 @@
     ("failing", "Share of parts that failed", lambda view: view.failing),
 )
 Log = Callable[..., None]
+if TYPE_CHECKING:
+    from stepknot.broker.subsetting import Subsetting
+
+
+def host_port(host: str, port: int) -> str:
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
 
 
 def shortest_aim(config: Config) -> float:
@@ -105,9 +111,16 @@
         self.admin = Server(self.loop, *config.admin, self.administer, HttpLimits(body=65536),
                             self.front.http_error) if config.admin is not None else None
         self.listed = Drained(self.core.take_list)
+        self.subsetting = None
+        if config.subset is not None:
+            from stepknot.broker.subsetting import Subsetting  # not needed, and not loaded, without the block
+
+            self.subsetting = Subsetting(self.loop, replace(config.subset, own=self.own_addresses()), config.settings,
+                                         self.listed, self.core.take_list, log)
+            self.listed.on_list = self.subsetting.take
         self.source = FileSource(self.loop, config.list_file, config.list_every, self.listed.take,
                                  lambda trouble: log("box_list_not_taken", trouble=trouble))
-        self.peering = Peering(self.loop, config.peers, chance.getrandbits(62), self.core.note_instances,
+        self.peering = Peering(self.loop, config.peers, chance.getrandbits(62), self.note_instances,
                                log) if config.peers is not None else None
         self.owning = None
         if config.owners is not None and self.peering is not None:
@@ -118,6 +131,24 @@
         self.registry = CollectorRegistry()
         self.registry.register(self)
 
+    def own_addresses(self) -> frozenset[str]:
+        """Where this broker listens, as a list would name it: on all addresses of the machine, where others send it
+        their datagrams, if that is told."""
+        config = self.config
+        servers = ((config.listen, self.server), (config.admin, self.admin),
+                   (config.graphql.listen if config.graphql is not None else None, self.graph_server))
+        advertised = config.peers.advertise if config.peers is not None else None
+        anywhere = ("127.0.0.1", "::1", *([advertised[0]] if advertised is not None else []))
+        return frozenset(
+            host_port(host, server.port) for listen, server in servers if listen is not None and server is not None
+            for host in (anywhere if listen[0] in ("0.0.0.0", "::") else (listen[0],)))
+
+    def note_instances(self, count: int) -> None:
+        """No more brokers than this may be there, by membership."""
+        self.core.note_instances(count)
+        if self.subsetting is not None:
+            self.subsetting.count(count)
+
     def share_descriptors(self, config: Config) -> Budgets | None:
         """The limit as it is at the start. A limit that is too low for budgets is told, and there are none then."""
         if config.admission is None:
@@ -225,12 +256,24 @@
             return Response(200, orjson.dumps({"broker": self.name, **self.peering.view()}))
         if request.path == "/owner" and self.owning is not None:
             return Response(200, orjson.dumps({"broker": self.name, **self.owning.view()}))
+        if request.path == "/subset" and self.subsetting is not None:
+            return (yield from self.show_subset(self.subsetting, request.query))
         if request.path in ("/owner/order", "/owner/yield") and self.owning is not None:
             return (yield from self.order(request))
         if request.path.startswith("/admission/") and self.gate is not None:
             return self.change_lists(request)
         return Response(404, orjson.dumps({"error": f"nothing at {request.path}",
-                                           "known": ["/zones", "/admission", "/peers", "/owner", *CHANGES]}))
+                                           "known": ["/zones", "/admission", "/peers", "/owner", "/subset", *CHANGES]}))
+
+    def show_subset(self, subsetting: Subsetting, query: dict[str, str]) -> Coroutine:
+        """`?held=1`: with the nodes in use; `?why=NODE`: only why this one is, or is not, in use."""
+        found = {"broker": self.name, **(yield from subsetting.survey("held" in query))}
+        if "why" in query:
+            reason = subsetting.why(query["why"])
+            if reason is None and not subsetting.off:
+                return Response(404, orjson.dumps({"error": f"the list has no node {query['why']}"}))
+            found["why"] = reason
+        return Response(200, orjson.dumps(found))
 
     def order(self, request: Request) -> Coroutine:
         """An operator's word for a job of the fleet, `?job=drains`: waits until it is in the ledger, or refused."""
@@ -349,6 +392,8 @@
             found += self.peering.collect()
         if self.owning is not None:
             found += self.owning.collect()
+        if self.subsetting is not None:
+            found += self.subsetting.collect()
         if self.gate is not None:
             admission = self.gate.admission
             decided = CounterMetricFamily("stepknot_admission_decisions", "What admission decided", labels=["what"])
--- a/stepknot/cli/admin.py
+++ b/stepknot/cli/admin.py
@@ -98,6 +98,35 @@
     return None
 
 
+def subset_table(found: dict[str, Any]) -> str:
+    """The nodes that one broker uses, by zone."""
+    if found["off"]:
+        return f"{found['broker']}: ALL {found['nodes']} NODES ARE USED, for a defect: {found['off']}"
+    changes = ", ".join(f"{count} by {cause}" for cause, count in found["changes"].items() if count)
+    lines = [f"{found['broker']} as {found['identity']} in zone {found['zone'] or '-'}, one of {found['instances']} "
+             f"brokers: {found['quota_least']} to {found['quota_greatest']} warm nodes a cell in {found['cells']} cells"
+             + (", at work on a list" if found["busy"] else ""),
+             f"changes of cells: {changes or 'none'}; {found['left_out']} entries left out; longest slice "
+             f"{1000 * found['longest_slice']:.1f} ms",
+             f"{'zone':<12} {'tier':>4} {'listed':>7} {'live':>7} {'warm':>6} {'cold':>6} {'draining':>8}"]
+    lines += [f"{row['zone'] or '-':<12} {row['tier']:>4} {row['listed']:>7} {row['live']:>7} {row['warm']:>6} "
+              f"{row['cold']:>6} {row['draining']:>8}" for row in found["zones"]]
+    return "\n".join(lines)
+
+
+def subset_story(found: dict[str, Any]) -> str:
+    """Why one node is, or is not, in use."""
+    why = found["why"]
+    lines = [f"{why['server']} is {'in use' if why['held'] else 'not in use'} by {found['broker']}: {why['word']}",
+             f"by preference {why['place'] + 1} of {why['nodes']} nodes of cell {why['cell']} ({why['live']} live, "
+             f"{why['quota']} warm ones wanted); zone {why['zone'] or '-'}, tier {why['tier']}, "
+             f"score {why['score']:.4g}"]
+    if why["cold_share"] < 1 or why["sharers"]:
+        lines.append(f"it is cold: {why['cold_share']:.2%} of brokers may send to it"
+                     + (f"; this one takes a part in {why['sharers']:.1f} of its budget" if why["sharers"] else ""))
+    return "\n".join(lines)
+
+
 def owner_table(found: dict[str, Any]) -> str:
     """Who owns each job, as one broker knows it, and the first job's state."""
     voter = found["voter"]
--- a/stepknot/cli/main.py
+++ b/stepknot/cli/main.py
@@ -114,12 +114,23 @@
     shards = sum(index.shards for index in settings.indices.values())
     summary = {"ok": True, "classes": sorted(settings.settings.classes), "indices": sorted(settings.indices),
                "shards": shards, "cells": settings.settings.cells, "brokers": settings.settings.instances,
+               "subset": subset_summary(settings),
                "box_list": str(settings.list_file), "box_list_found": settings.list_file.exists()}
     if as_json:
         click.echo(orjson.dumps(summary))
     else:
         click.echo(f"ok: {len(summary['classes'])} classes, {len(summary['indices'])} indices with {shards} shards "  # type: ignore[arg-type]
-                   f"in {settings.settings.cells} cells, {settings.settings.instances} brokers")
+                   f"in {settings.settings.cells} cells, {settings.settings.instances} brokers, "
+                   + ("all nodes used" if settings.subset is None else
+                      f"a subset: {settings.subset.size} replicas a shard, as {settings.subset.identity}"))
+
+
+def subset_summary(settings: Config) -> dict[str, Any] | None:
+    """None where all nodes are used."""
+    found = settings.subset
+    return None if found is None else {
+        "identity": found.identity, "size": found.size, "holders": found.holders, "near": found.near,
+        "zone": found.zone, "tiers": found.tiers}
 
 
 @cli.command()
@@ -261,6 +272,45 @@
         time.sleep(watch)
 
 
+@cli.command()
+@click.argument("admin", type=Address())
+@click.option("--json", "as_json", is_flag=True, help="Print what the broker says as it is, with each node in use.")
+@click.option("--watch", type=click.FloatRange(min=0.1), help="Ask again every so many seconds until interrupted.")
+@click.option("--why", metavar="NODE", help="Why this node, by its address on the list, is or is not in use.")
+def subset(admin: tuple[str, int], as_json: bool, watch: float | None, why: str | None) -> None:
+    """Show which nodes of the list the broker with the admin socket ADMIN uses, by zone.
+
+    The broker needs a `subset` block; without one it uses all nodes. Of a zone: its tier (0: the broker's own), nodes
+    on the list and live ones, and those in use: warm, cold (with a part of their budget), draining.
+
+    Exit code 1 where a defect has put the whole list in the subset's place, 2 where nothing answers, there is no
+    subset, or the list does not name NODE.
+
+    \b
+    Example: stepknot subset 127.0.0.1:9300
+             stepknot subset 127.0.0.1:9300 --why 10.0.0.7:9200
+             stepknot subset 127.0.0.1:9300 --json | jq -r '.held[].server'
+    """
+    import time
+
+    import orjson
+
+    from stepknot.cli.admin import ask, subset_story, subset_table
+
+    path = "/subset" + (f"?why={quote(why)}" if why is not None else "?held=1" if as_json else "")
+    while True:
+        try:
+            found = ask(admin, path)
+        except OSError as error:
+            click.echo(f"error: {admin[0]}:{admin[1]}: {error}", err=True)
+            raise SystemExit(2) from None
+        text = subset_story(found) if found.get("why") else subset_table(found)
+        click.echo(orjson.dumps(found) if as_json else text)
+        if not watch:
+            raise SystemExit(1 if found["off"] else 0)
+        time.sleep(watch)
+
+
 @cli.command()
 @click.argument("admin", type=Address())
 @click.option("--json", "as_json", is_flag=True, help="Print what the broker says as it is.")
--- a/stepknot/config/settings.py
+++ b/stepknot/config/settings.py
@@ -9,7 +9,7 @@
 import re
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from stepknot import interface as api
 from stepknot.admission.model import AdmissionSettings
@@ -32,14 +32,19 @@
     text,
     tiers,
 )
+from stepknot.config.subset import read_subset, surroundings
 from stepknot.net.http import HttpLimits
 from stepknot.zones.model import Bounds, ZoneSettings
 
+if TYPE_CHECKING:
+    from stepknot.subsets.model import SubsetSettings
+
 OPERATIONS = ("search", "count", "get", "mget", "index", "create", "update", "delete", "bulk")
 MORE_OPERATIONS = {"entities": "mget"}  # those that go by another's class where none names them
 FIELD_TYPES = ("text", "keyword", "long", "integer", "short", "byte", "double", "float", "date", "boolean")
 # Blocks without a name.
-SINGLE = ("fleet", "zones", "rules", "limits", "boxes", "http", "request", "graphql", "admission", "peers", "ownership")
+SINGLE = ("fleet", "zones", "rules", "limits", "boxes", "http", "request", "graphql", "admission", "peers", "ownership",
+          "subset")
 TOP = {
     "name": Key(text, "stepknot"), "zone": Key(text, ""), "listen": Key(address, ("127.0.0.1", 9200)),
     "admin": Key(address, None),
@@ -130,6 +135,7 @@
     peers: Peers | None = None  # none: this broker knows of no other
     owners: Owners | None = None  # none: no job of the fleet is taken here, and no ledger read
     graphql: GraphSettings | None = None  # the second front; none: it is not served
+    subset: SubsetSettings | None = None  # none: all nodes of the list are used
 
 
 def load(path: Path) -> Config:
@@ -170,6 +176,7 @@
     admission = read_admission(checker, single.get("admission"), request["held"] or 1, folder)
     peers = read_peers(checker, single.get("peers"), plain["listen"], plain["instances"])
     owners = read_ownership(checker, single.get("ownership"), peers, folder)
+    subset = read_subset(checker, single.get("subset"), surroundings(plain["zone"], zones, limits, single.get("peers")))
     if checker.problems:
         raise ConfigError(sorted(checker.problems, key=lambda each: each.line))
     settings = api.Settings(
@@ -183,7 +190,7 @@
         operations=operations, indices=indices, connections=boxes["connections"],
         connect_timeout=boxes["connect_timeout"], reply=boxes["reply"], http=HttpLimits(**http),
         tenants=tenants, admin=plain["admin"], zones=zone_settings(plain["zone"], zones), graphql=graphql,
-        admission=admission, peers=peers, owners=owners,
+        admission=admission, peers=peers, owners=owners, subset=subset,
         **request,
     )
 
--- a/stepknot/lab/fleet.py
+++ b/stepknot/lab/fleet.py
@@ -55,7 +55,7 @@
 }}
 
 limits {{
-  max_attempts    = 3
+  max_attempts    = {max_attempts}
   max_retry_after = "2s"
   idle_connection = "10s"
 }}
@@ -111,7 +111,7 @@
 {admission}
 }}
 
-{peers}{ownership}index "{index}" {{
+{peers}{ownership}{subset}index "{index}" {{
   shards = {shards}
 {fields}}}
 
@@ -155,6 +155,7 @@
     values = {"name": "demo", "zone": "a", "port": 0, "admin": 0, "graph": 0, "instances": 2, "cells": 4,
               "shards": 12, "aim": 1.0, "deadline": 3.0, "cold_time": 10, "extra_floor": 20, "zones": "true",
               "admission": "  enabled = false", "peers": "", "ownership": "",
+              "subset": "", "max_attempts": 3,
               "index": corpus.INDEX} | given
     values["fields"] = "".join(f'  field "{name}" {{\n    type = "{kind}"\n  }}\n'
                                for name, kind in corpus.FIELDS.items())
@@ -230,6 +231,7 @@
     name: str = ""  # among its peers
     owners: dict[str, Any] = field(default_factory=dict)  # keys of its `ownership` block
     peers: dict[str, Any] = field(default_factory=dict)  # further keys of its `peers` block, as HCL
+    subset: dict[str, Any] = field(default_factory=dict)  # keys of its `subset` block
     process: subprocess.Popen[bytes] | None = None
 
     @property
@@ -293,6 +295,7 @@
             text = settings_text(port=broker.port, admin=broker.admin, graph=broker.graph,
                                  zone=broker.zone, peers=self.peers_text(broker),
                                  ownership=block_text("ownership", broker.owners),
+                                 subset=block_text("subset", broker.subset),
                                  instances=len(self.brokers), cells=self.cells, **self.settings)
             (self.folder / f"broker-{broker.number}.hcl").write_text(text)
 
--- /dev/null
+++ b/tests/subsets/test_subsetting.py
@@ -0,0 +1,314 @@
+"""The subset on a loop: lists in slices, what drains first, the whole list after a defect, and what is told.
+
+The clock goes on by a tenth of a millisecond each time that it is asked, so that work has a length and all else is
+the same in each run. Entries come in as a list's source hands them to `Drained`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+import pytest
+
+from stepknot.broker.subsetting import MAX_HANDED, MAX_TOLD, SLICE, Subsetting
+from stepknot.discovery.drained import Drained
+from stepknot.interface import Limits, ListKind, ListReceived, Rules, ServerEntry, ServerState, Settings
+from stepknot.net.loop import Loop
+from stepknot.subsets.model import SubsetSettings
+
+STEP = 0.0001  # seconds for which each look at the clock takes
+COLD_TIME = 5.0
+ZONES = "abcde"
+TURN = 0.005  # seconds for which queries may wait
+FLEET = Settings(100, 40, 1, 16, {}, Rules(1.0, 0.2, COLD_TIME, 4.0, 1.0), Limits(3))
+OWN = SubsetSettings("b0", size=3, holders=1.0, zone="a", own=frozenset({"127.0.0.1:9200"}))
+
+
+@dataclass
+class World:
+    """A subset between a list and a core; the core's side is what `taken` holds, node by node as it would keep it."""
+
+    settings: SubsetSettings = OWN
+    fleet: Settings = FLEET
+    now: float = 1000.0
+    taken: list[ListReceived] = field(default_factory=list)
+    turns: list[int] = field(default_factory=list)  # of the loop, at which each of these came
+    told: list[tuple[str, dict[str, Any]]] = field(default_factory=list)
+    errors: list[BaseException] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.loop = Loop(self.clock, on_error=lambda name, error: self.errors.append(error))
+        self.listed = Drained(self.take)
+        self.own = Subsetting(self.loop, self.settings, self.fleet, self.listed, self.take,
+                              lambda event, **fields: self.told.append((event, fields)))
+        self.listed.on_list = self.own.take
+
+    def clock(self) -> float:
+        self.now += STEP
+        return self.now
+
+    def take(self, event: ListReceived) -> None:
+        self.taken.append(event)
+        self.turns.append(self.loop.turns)
+
+    def core(self) -> dict[str, ServerEntry]:
+        """What a core holds after all that was handed to it."""
+        found: dict[str, ServerEntry] = {}
+        for event in self.taken:
+            if event.kind is not ListKind.CHANGES:
+                found = {}
+            for entry in event.entries:
+                if entry.state is ServerState.GONE:
+                    found.pop(entry.server, None)
+                else:
+                    found[entry.server] = entry
+        return found
+
+    def full(self, entries: Iterable[ServerEntry]) -> None:
+        self.listed.take(ListReceived(ListKind.FULL, tuple(entries)))
+
+    def change(self, *entries: ServerEntry) -> None:
+        self.listed.take(ListReceived(ListKind.CHANGES, entries))
+
+    def turn(self) -> None:
+        self.loop.again = True  # the poll waits by the machine's clock: it need not
+        self.loop.turn()
+
+    def until(self, what: Callable[[], bool], within: int = 10_000) -> int:
+        """Turns until it is so."""
+        for count in range(within):
+            if what():
+                return count
+            self.turn()
+        raise AssertionError("it did not come to that")
+
+    def settle(self) -> None:
+        self.until(lambda: self.own.turn is None)
+
+    def names(self, event: str) -> list[dict[str, Any]]:
+        return [fields for name, fields in self.told if name == event]
+
+
+def nodes(cells: int = 40, each: int = 10, up_since: float = 0.0) -> list[ServerEntry]:
+    return [ServerEntry(f"n{cell}.{number}", ZONES[number % 5], cell, ServerState.LIVE, up_since=up_since)
+            for cell in range(cells) for number in range(each)]
+
+
+def other(each: int = 10) -> list[ServerEntry]:
+    """A list that has nothing in common with `nodes`."""
+    return [replace(entry, server=f"x{entry.server}") for entry in nodes(each=each)]
+
+
+@pytest.fixture
+def world() -> World:
+    found = World()
+    found.full(nodes())
+    found.turn()
+    return found
+
+
+def test_the_first_list_is_one_event_before_the_first_turn() -> None:
+    world = World()
+    world.full(nodes())
+    assert world.turns == [0] and world.taken[0].kind is ListKind.FULL
+    assert len(world.core()) == 40 * 3 and not world.own.subset.busy
+
+
+def test_a_first_list_that_comes_late_is_full_and_in_slices() -> None:
+    world = World()
+    world.turn()
+    world.full(nodes())
+    world.settle()
+    assert [event.kind for event in world.taken] == [ListKind.FULL] + [ListKind.CHANGES] * (len(world.taken) - 1)
+    assert len(world.core()) == 40 * 3 and len(world.taken) > 1
+
+
+def test_the_same_nodes_are_used_whether_the_list_came_at_once_or_bit_by_bit(world: World) -> None:
+    bits = World()
+    bits.turn()
+    for entry in reversed(nodes()):
+        bits.change(entry)
+    bits.settle()
+    assert bits.core() == world.core()
+
+
+def test_a_long_list_is_taken_in_slices_and_no_turn_is_held_for_long(world: World) -> None:
+    world.loop.lag_most, fired, since = 0.0, [], world.loop.turns
+    world.loop.call_later(3 * SLICE, lambda: fired.append(world.loop.turns))
+    world.change(*(replace(entry, state=ServerState.GONE) for entry in nodes()), *other())
+    world.settle()
+    assert set(world.core()) < {entry.server for entry in other()} and len(world.core()) == 40 * 3
+    assert world.loop.lag_most < TURN and world.own.longest_slice < TURN
+    assert world.loop.turns - since > 10 and fired[0] - since < 5
+    assert max(len(event.entries) for event in world.taken[1:]) <= MAX_HANDED
+    assert len(set(world.turns)) == len(world.turns), "two events in one turn"
+
+
+def test_a_node_in_use_that_is_gone_is_replaced_before_it_goes(world: World) -> None:
+    held = next(iter(world.core().values()))
+    world.change(replace(held, state=ServerState.GONE))
+    world.settle()
+    (event,) = world.taken[1:]
+    assert [entry.state for entry in event.entries] == [ServerState.LIVE, ServerState.GONE]
+    assert event.entries[1].server == held.server and len(world.core()) == 40 * 3
+
+
+def test_a_list_that_fails_is_told_at_once_and_changes_nothing(world: World) -> None:
+    before = world.core()
+    world.listed.take(ListReceived(ListKind.FAILED))
+    assert world.taken[-1].kind is ListKind.FAILED and world.own.turn is None
+    world.taken.pop()
+    assert world.core() == before
+
+
+def test_a_cold_node_is_warm_at_its_time_though_no_list_comes(world: World) -> None:
+    world.full(replace(entry, up_since=world.now) for entry in nodes())
+    world.settle()
+    cold = [entry for entry in world.core().values() if entry.sharers]
+    assert cold and world.own.warm is not None
+    world.now += COLD_TIME + 0.1
+    world.until(lambda: not any(entry.sharers for entry in world.core().values()))
+    world.settle()
+    assert len(world.core()) == 40 * 3 and world.own.warm is None
+
+
+def test_the_count_of_brokers_sets_how_many_nodes_each_uses(world: World) -> None:
+    world = World(replace(OWN, holders=50.0))  # of 100 brokers: half of the list
+    world.full(nodes())
+    world.turn()
+    assert len(world.core()) == 40 * 5
+    world.own.count(50)
+    world.settle()
+    assert len(world.core()) == 40 * 10
+    world.own.count(1000)
+    world.settle()
+    assert len(world.core()) == 40 * 3
+    assert {row["cause"] for row in world.names("subset_changed") if "cause" in row} <= {
+        "the list", "the count of brokers"}
+
+
+# --- a defect of the subset's own
+
+
+def broken(entry: ServerEntry) -> ServerEntry:
+    """No source hands out such a thing; it stands for a defect at any place behind."""
+    return replace(entry, server="broken", size="large")  # type: ignore[arg-type]
+
+
+def everything(world: World) -> dict[str, ServerEntry]:
+    return {server: world.listed.seen(entry) for server, entry in world.listed.entries.items()}
+
+
+def test_after_a_defect_the_core_has_the_whole_list_and_keeps_it(world: World) -> None:
+    world.change(*(replace(entry, up_since=world.now) for entry in nodes()[:200]))
+    world.settle()
+    assert any(entry.sharers for entry in world.core().values())
+    world.change(replace(nodes()[3], state=ServerState.DRAINING), broken(nodes()[0]))
+    world.until(lambda: bool(world.own.off))
+    assert world.taken[-1].kind is ListKind.FULL and world.core() == everything(world) and len(world.core()) == 401
+    assert not any(entry.sharers for entry in world.core().values())
+    assert world.core()["n0.3"].state is ServerState.DRAINING
+    (told,) = world.names("subset_off")
+    assert "TypeError" in told["reason"] and told["nodes"] == 401 and len(world.errors) == 1
+    world.change(*other(), replace(nodes()[7], state=ServerState.GONE))
+    world.listed.set_out(["n1.1"])
+    world.own.count(3)
+    for _ in range(10):
+        world.turn()
+    assert world.core() == everything(world) and len(world.core()) == 800
+    assert world.core()["n1.1"].state is ServerState.DRAINING
+    assert len(world.names("subset_off")) == 1 and len(world.errors) == 1
+
+
+def test_a_defect_as_a_list_comes_in_or_at_the_very_first_one_is_borne_too() -> None:
+    world = World()
+    world.full([*nodes(), broken(nodes()[0])])
+    assert world.own.off and world.core() == everything(world) and world.turns == [0]
+    world = World()
+    world.full(nodes())
+    world.turn()
+    world.own.subset.pending = None  # type: ignore[assignment]
+    world.change(replace(next(iter(world.core().values())), state=ServerState.DRAINING))
+    assert world.own.off and world.core() == everything(world) and len(world.core()) == 400
+
+
+def test_what_was_decided_and_not_handed_over_does_not_come_after_the_whole_list(world: World) -> None:
+    world.change(*(replace(entry, state=ServerState.GONE) for entry in nodes()[100:]), *other())
+    world.until(lambda: len(world.own.ready) > 1)
+    world.own.fall_back(RuntimeError("planted"))
+    for _ in range(50):
+        world.turn()
+    assert world.core() == everything(world) and world.taken[-1].kind is ListKind.FULL
+
+
+def test_operators_and_metrics_are_told_of_the_defect(world: World) -> None:
+    assert {metric.name for metric in world.own.collect()} >= {"stepknot_subset_held", "stepknot_subset_off"}
+    world.own.fall_back(RuntimeError("planted"))
+    (off,) = world.own.collect()
+    assert off.samples[0].value == 1
+    assert survey(world)["off"] == "RuntimeError: planted" and world.own.why("n0.0") is None
+
+
+# --- what is told
+
+
+def survey(world: World, with_held: bool = False) -> dict[str, Any]:
+    task = world.loop.spawn(world.own.survey(with_held))
+    world.until(lambda: task.done)
+    assert task.error is None
+    found: dict[str, Any] = task.result
+    return found
+
+
+def test_few_changes_are_told_one_by_one_and_many_in_one_event(world: World) -> None:
+    (first,) = world.names("subset_changed")
+    assert first["cells"] == 40 and first["causes"] == {"the list": 40} and first["entered_count"] == 120
+    assert len(first["first_cells"]) == MAX_TOLD
+    world.told.clear()
+    held = next(iter(world.core().values()))
+    world.change(replace(held, state=ServerState.GONE))
+    world.settle()
+    (told,) = world.names("subset_changed")
+    assert told["cell"] == held.cell and told["cause"] == "the list" and told["left"] == [held.server]
+    assert told["entered_count"] == told["left_count"] == 1 and told["quota"] == 3
+    world.told.clear()
+    world.change(*(replace(entry, state=ServerState.GONE) for entry in world.core().values()))
+    world.settle()
+    (told,) = world.names("subset_changed")
+    assert told["cells"] == 40 and told["left_count"] == 120
+
+
+def test_a_list_that_names_this_broker_is_told_once_and_the_entry_is_left_out(world: World) -> None:
+    own = ServerEntry("127.0.0.1:9200", "a", 0, ServerState.LIVE)
+    world.change(own)
+    world.change(replace(own, zone="b"))
+    world.settle()
+    (told,) = world.names("list_names_this_broker")
+    assert told["addresses"] == ["127.0.0.1:9200"] and world.own.subset.left_out == 2
+    assert "127.0.0.1:9200" not in world.core()
+    world.own.fall_back(RuntimeError("planted"))
+    assert "127.0.0.1:9200" not in world.core()
+
+
+def test_operators_see_zones_quotas_nodes_and_reasons(world: World) -> None:
+    world.change(*(replace(entry, up_since=world.now) for entry in nodes() if entry.zone == "b"))
+    world.settle()
+    found = survey(world, with_held=True)
+    assert [(row["zone"], row["tier"], row["listed"]) for row in found["zones"]] == [
+        (zone, int(zone != "a"), 80) for zone in ZONES]
+    assert {row["server"] for row in found["held"]} == set(world.core()) and found["quota_greatest"] == 3
+    assert sum(row["warm"] for row in found["zones"]) == 40 * 3
+    assert sum(row["cold"] for row in found["zones"]) == sum(entry.sharers > 0 for entry in world.core().values())
+    why = world.own.why(next(iter(world.core())))
+    assert why is not None and why["held"] and world.own.why("nobody") is None
+    assert "held" not in survey(world)
+
+
+def test_metrics_have_bounded_labels_and_count_what_is_there(world: World) -> None:
+    rows = {(sample.name, *sample.labels.values()): sample.value
+            for metric in world.own.collect() for sample in metric.samples}
+    assert rows["stepknot_subset_listed",] == rows["stepknot_subset_live",] == 400
+    assert rows["stepknot_subset_held", "warm"] == 120 and rows["stepknot_subset_cells",] == 40
+    assert rows["stepknot_subset_changes_total", "list"] == 40 and len(rows) < 30
