A subset's drain does not wait for a long list that is being taken in

Cause: a held node that drains was settled before all other work, and then told only once 128 entries were together or no list and no cell was left to do. Change: what the urgent cells changed is told as soon as the last of them is settled.

--- a/stepknot/subsets/subset.py
+++ b/stepknot/subsets/subset.py
@@ -100,13 +100,15 @@
         """One unit of work; whether there is more."""
         while self.warming and self.warming[0][0] <= now:
             self.dirty.setdefault(heapq.heappop(self.warming)[1], Cause.WARM)
+        hurried = bool(self.urgent)
         if self.urgent:
             self.settle_first(self.urgent, now)
         elif self.pending:
             self.take_some(self.pending[0])
         elif self.dirty:
             self.settle_first(self.dirty, now)
-        if self.told and (len(self.told) >= TOLD_AT_ONCE or not (self.urgent or self.pending or self.dirty)):
+        done = not self.urgent and (hurried or not (self.pending or self.dirty))  # a drain waits for nothing else
+        if self.told and (done or len(self.told) >= TOLD_AT_ONCE):
             self.tell()
         return self.busy
 
--- a/tests/subsets/test_subsetting.py
+++ b/tests/subsets/test_subsetting.py
@@ -146,6 +146,19 @@
     assert len(set(world.turns)) == len(world.turns), "two events in one turn"
 
 
+def test_a_node_in_use_that_drains_while_a_long_list_is_taken_in_is_passed_on_first(world: World) -> None:
+    held = next(iter(world.core().values()))
+    world.change(*other(each=200))
+    world.turn()
+    world.listed.set_out([held.server])
+    turns = world.until(lambda: world.core()[held.server].state is ServerState.DRAINING)
+    assert turns <= 4 and len(world.own.subset.pending[0].entries) > 7000, "the long list is hardly begun"
+    replacing = [entry for entry in world.core().values()
+                 if entry.cell == held.cell and entry.state is ServerState.LIVE]
+    assert len(replacing) == 3
+    world.settle()
+
+
 def test_a_node_in_use_that_is_gone_is_replaced_before_it_goes(world: World) -> None:
     held = next(iter(world.core().values()))
     world.change(replace(held, state=ServerState.GONE))
