--- /dev/null
+++ b/tests/lab/test_subset_cost.py
@@ -0,0 +1,60 @@
+"""The model of what a subset costs: the same by seed, its queries and lists as the rules have them."""
+
+from __future__ import annotations
+
+import pytest
+
+from stepknot.interface import ListKind, ListReceived, ServerState
+from stepknot.lab.subset_cost import BEGAN, SCENARIOS, Fleet, Variant, World, play
+
+SMALL = Fleet(brokers=6, shards=4, replicas=8, seconds=3.6)  # drained nodes are told of at 2.0 s and gone at 3.5 s
+WHOLE, SUBSET = Variant(0), Variant(3, near=8.0)
+
+
+@pytest.mark.parametrize("variant", [WHOLE, SUBSET], ids=lambda each: each.name)
+def test_a_seed_gives_the_same_run_and_another_seed_another(variant: Variant) -> None:
+    small = Fleet(brokers=4, shards=4, replicas=6, seconds=0.5)
+    first = play("zone lost", variant, 1, small)
+    assert first == play("zone lost", variant, 1, small)
+    assert first != play("zone lost", variant, 2, small)
+
+
+def test_all_lists_get_the_same_queries_with_the_same_work() -> None:
+    small = Fleet(brokers=4, shards=4, replicas=6, seconds=0.5)
+    worlds = [World("burst", variant, 1, small) for variant in (WHOLE, SUBSET)]
+    for world in worlds:
+        world.run()
+    one, other = ([(part.query.arrived, part.query.kind.name, part.work) for part in world.parts.values()]
+                  for world in worlds)
+    assert one == other and len(one) > 100
+
+
+@pytest.mark.parametrize("variant", [WHOLE, SUBSET], ids=lambda each: each.name)
+@pytest.mark.parametrize("scenario", SCENARIOS)
+def test_every_query_gets_one_final_answer_and_no_part_goes_where_it_must_not(scenario: str, variant: Variant) -> None:
+    world = World(scenario, variant, 1, SMALL)
+    world.run()
+    assert {query.finals for query in world.queries.values()} == {1}
+    assert world.counts.late_sends == 0
+    assert not any(broker.jobs for broker in world.brokers)
+    assert world.counts.answered + world.counts.refused + world.counts.failed == world.counts.queries > 1000
+
+
+def test_a_subset_holds_exactly_its_size_of_each_shard_and_told_the_module_no_more() -> None:
+    world = World("calm", SUBSET, 1, SMALL)
+    world.now = BEGAN
+    entries = tuple(node.entry for node in world.nodes.values())
+    for broker in world.brokers:
+        broker.take_list(ListReceived(ListKind.FULL, entries))
+        assert {shard: len(each) for shard, each in broker.module.cells.items()} == {0: 3, 1: 3, 2: 3, 3: 3}
+
+
+def test_a_cold_node_that_gets_more_than_it_bears_falls_and_one_that_gets_less_does_not() -> None:
+    for sent, falls in ((5, 0), (7, 1)):  # of 0.1 s, where 3 x 0.2 s within a second is borne
+        world = World("calm", WHOLE, 1, SMALL)
+        node = world.nodes["n0-0"]
+        world.bring_back([node])
+        for _ in range(sent):
+            node.check_fall(0.1)
+        assert (world.counts.falls, node.up) == (falls, not falls)
+        assert node.entry.state is ServerState.LIVE  # the list tells of it later
