The play of traffic in bench/sockets.py returns its figures

A measurement of what grows with what needs the CPU of a part by its places, which the command only printed. play() returns queries, times to the module, user and system time and the module's share; the command prints the same text.

--- a/bench/sockets.py
+++ b/bench/sockets.py
@@ -8,11 +8,13 @@
 
 import multiprocessing
 import random
+import resource
 import socket
 import threading
 import time
 from collections.abc import Callable
 from copy import copy
+from dataclasses import dataclass
 from functools import partial
 from typing import Any
 
@@ -149,34 +151,63 @@
     return took
 
 
+@dataclass(frozen=True, slots=True)
+class Played:
+    """Traffic at one rate: times in seconds, CPU of the broker's process."""
+
+    queries: int
+    took: list[float]  # from each answer's last byte to the module's turn, sorted
+    longest_turn: float
+    user: float
+    system: float
+    module: float  # of `user`: within the module's decisions
+
+    @property
+    def spent(self) -> float:
+        return self.user + self.system
+
+
+def play(rate: float, seconds: float) -> Played:
+    """`rate`: queries a second, of two parts each."""
+    listen, ports = free(), [free(), free()]
+    config = read_config(configuration(listen, ports), "bench")
+    service = Service(config, lambda event, **fields: None, partial(copy, config))
+    took = heard(service)
+    lanes = 20
+    others = [multiprocessing.Process(target=node, args=(port,), daemon=True) for port in ports]
+    others += [multiprocessing.Process(target=client, args=(listen, lane * 10**6, rate / lanes, seconds),
+                                       daemon=True) for lane in range(lanes)]
+    for each in others:
+        each.start()
+    service.loop.call_later(seconds, service.stop)
+    before = resource.getrusage(resource.RUSAGE_SELF)
+    service.run()
+    after, core = resource.getrusage(resource.RUSAGE_SELF), service.core
+    for each in others:
+        each.kill()
+        each.join()
+    return Played(max(core.counts["queries"], 1), sorted(took), service.loop.lag_most, after.ru_utime - before.ru_utime,
+                  after.ru_stime - before.ru_stime, core.decide_time)
+
+
+def any_service() -> Service:
+    """One that serves nobody, for `stages`."""
+    config = read_config(configuration(free(), [free(), free()]), "bench")
+    return Service(config, lambda event, **fields: None, partial(copy, config))
+
+
 @click.command(help=__doc__)
 @click.option("--seconds", default=5.0, show_default=True, help="Of traffic at each rate.")
 @click.option("--rates", default="60,130,260", show_default=True, help="Queries a second.")
 def main(seconds: float, rates: str) -> None:
     for rate in [float(each) for each in rates.split(",")]:
-        listen, ports = free(), [free(), free()]
-        config = read_config(configuration(listen, ports), "bench")
-        service = Service(config, lambda event, **fields: None, partial(copy, config))
-        took = heard(service)
-        lanes = 20
-        others = [multiprocessing.Process(target=node, args=(port,), daemon=True) for port in ports]
-        others += [multiprocessing.Process(target=client, args=(listen, lane * 10**6, rate / lanes, seconds),
-                                           daemon=True) for lane in range(lanes)]
-        for each in others:
-            each.start()
-        service.loop.call_later(seconds, service.stop)
-        begun = time.process_time()
-        service.run()
-        spent, core = time.process_time() - begun, service.core
-        for each in others:
-            each.kill()
-        took.sort()
-        queries = max(core.counts["queries"], 1)
+        found = play(rate, seconds)
+        queries, took = found.queries, found.took
         quantiles = ", ".join(f"{share:.1%} {took[int(share * len(took))] * 1e6:.0f}" for share in (0.5, 0.99, 0.999))
         click.echo(f"{queries / seconds:.0f} queries a second: answer's last byte to the module, us: {quantiles}; "
-                   f"longest turn {service.loop.lag_most * 1e3:.1f} ms; CPU a query {spent / queries * 1e6:.0f} us, "
-                   f"the module {core.decide_time / queries * 1e6:.0f} of it")
-    click.echo("; ".join(f"{name} {cost:.0f} us" for name, cost in stages(service).items()))
+                   f"longest turn {found.longest_turn * 1e3:.1f} ms; CPU a query {found.spent / queries * 1e6:.0f} us, "
+                   f"the module {found.module / queries * 1e6:.0f} of it")
+    click.echo("; ".join(f"{name} {cost:.0f} us" for name, cost in stages(any_service()).items()))
 
 
 if __name__ == "__main__":
