--- a/bench/scale.py
+++ b/bench/scale.py
@@ -26,12 +26,14 @@
 import scale_members
 import scale_owners
 import scale_readers
+import scale_subset
 from scale_report import BROKERS, NODES, QUERIES, REPLICAS, SHARDS, Effort, Finding, Note
 
 from stepknot.lab.slopes import Figure, Series, Spread
 
 GROUPS: dict[str, Callable[[Effort], Iterator[Finding]]] = {
     "decide": scale_decide.measure,
+    "subset": scale_subset.measure,
     "readers": scale_readers.measure,
     "members": scale_members.measure,
     "owners": scale_owners.measure,
--- a/bench/scale_decide.py
+++ b/bench/scale_decide.py
@@ -51,6 +51,8 @@
     TimerDue,
 )
 from stepknot.logic import Aggregator
+from stepknot.subsets.model import Shape, SubsetSettings
+from stepknot.subsets.subset import Subset
 
 Plan = Callable[[Sequence[ServerEntry], str], list[ServerEntry]]
 BEGAN = 1000.0  # of the virtual clock
@@ -76,9 +78,18 @@
     return [each for cell in cells.values() for each in chance.sample(cell, min(RANDOM_REPLICAS, len(cell)))]
 
 
+def subset(entries: Sequence[ServerEntry], identity: str) -> list[ServerEntry]:
+    """What `stepknot.subsets` chooses for the broker."""
+    shape = Shape(1 + max(entry.cell for entry in entries), 1, RULES.cold_time)
+    chooser = Subset(SubsetSettings(identity, zone="z0"), shape, BROKERS)
+    chooser.take(ListReceived(ListKind.FULL, tuple(entries)))
+    return [entry for event in chooser.finish(BEGAN) for entry in event.entries]
+
+
 PLANS: dict[str, Plan] = {
     "whole": whole,
     "random": random_few,
+    "subset": subset,
 }
 
 
