--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -236,7 +236,7 @@
     found, over = passes(row), row.value(FULL) > row.limit
     if row.limit == math.inf:
         return "no limit is named"
-    if found <= FULL.nodes / TODAY.nodes:
+    if found <= FULL.brokers / TODAY.brokers or over and found <= FULL.nodes / TODAY.nodes:
         return f"x{number(found)}" + ("" if over else " with 58 shards; not at the full size")
     return "at the full width of 580 shards" if over else "not by the full size"
 
@@ -265,8 +265,8 @@
     late = 1 - 0.99 ** (1 / FULL.shards)
     root, leaves = 24, 25  # of a tree of two levels: 24 x 25 covers 580
     return "\n".join([
-        f"- a part: {part:.0f} us in the module with 4 replicas a shard, {io:.0f} us in loop, codecs and kernel; a query "
-        f"of 580 parts {query:.0f} ms of one core, against 130 ms",
+        f"- a part: {part:.0f} us in the module with 4 replicas a shard, {io:.0f} us in loop, codecs and kernel; a "
+        f"query of 580 parts {query:.0f} ms of one core, against 130 ms",
         f"- {QUERIES:.0f} queries a second at each of 6,600 brokers: {QUERIES * FULL.shards:,.0f} parts a second, "
         f"{cores:.1f} cores a broker, {cores * FULL.brokers:,.0f} in the fleet",
         f"- a tree of two levels, {root} inner calls of {leaves} parts: the root and one inner broker "
