--- a/stepknot/subsets/explain.py
+++ b/stepknot/subsets/explain.py
@@ -10,12 +10,10 @@
 
 def explain(subset: Subset, server: str, now: float) -> Reason | None:
     """None where the list does not name it."""
-    number = subset.index.where.get(server)
-    if number is None:
+    entry = subset.index.get(server)
+    if entry is None:
         return None
-    cell = subset.index.cells[number]
-    place = cell.find(server)
-    entry = cell.entries[place]
+    cell, place = subset.index.cells[entry.cell], subset.index.place(entry)
     share = cold_share(cell.quota, cell.live, subset.instances)
     held = cell.held.get(server)
     cold = subset.cold(entry, now)
@@ -31,6 +29,6 @@
         word = "it is among the first by preference"
     else:
         word = "it stands in for one that is no use now, or for another zone or tier"
-    return Reason(server, number, entry.zone, subset.index.tier(entry.zone), held is not None, word, place,
+    return Reason(server, entry.cell, entry.zone, subset.index.tier(entry.zone), held is not None, word, place,
                   len(cell.entries), cell.live, cell.quota, cell.scores[place],
                   share.share if cold else 1.0, held.sharers if held is not None else 0.0)
--- a/stepknot/subsets/index.py
+++ b/stepknot/subsets/index.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import math
 from array import array
 from bisect import bisect_left
 from dataclasses import dataclass, field
@@ -28,10 +27,6 @@
     quota: int = 0
     warm_at: float = 0.0  # when the next of its cold nodes is warm, 0: it has none
 
-    def find(self, server: str) -> int:
-        """Its place by preference; raises StopIteration where it is not there."""
-        return next(place for place, entry in enumerate(self.entries) if entry.server == server)
-
 
 class Index:
     """Where each node stands."""
@@ -39,7 +34,7 @@
     def __init__(self, settings: SubsetSettings) -> None:
         self.settings = settings
         self.cells: dict[int, Cell] = {}
-        self.where: dict[str, int] = {}
+        self.where: dict[str, ServerEntry] = {}
         self.tiers: dict[str, int] = {}  # of zones, as asked for
 
     def tier(self, zone: str) -> int:
@@ -52,16 +47,19 @@
         return draw(self.settings.identity, server)
 
     def score(self, entry: ServerEntry) -> float:
-        size = entry.size if math.isfinite(entry.size) else 1.0
-        size = min(max(size, LEAST_SIZE), GREATEST_SIZE)
+        size = min(max(entry.size, LEAST_SIZE), GREATEST_SIZE)
         return score(self.drawn(entry.server), size * self.settings.near ** -self.tier(entry.zone))
 
     def get(self, server: str) -> ServerEntry | None:
-        number = self.where.get(server)
-        if number is None:
-            return None
-        cell = self.cells[number]
-        return cell.entries[cell.find(server)]
+        return self.where.get(server)
+
+    def place(self, entry: ServerEntry) -> int:
+        """Where a node of the index stands in its cell: by its score, so that long cells are not searched."""
+        cell = self.cells[entry.cell]
+        place = bisect_left(cell.scores, self.score(entry))
+        while cell.entries[place].server != entry.server:  # equal scores, such as of a draw of 1
+            place += 1
+        return place
 
     def put(self, entry: ServerEntry) -> None:
         """Add it, or take its new word; of two of one name the later counts."""
@@ -72,21 +70,21 @@
         cell.scores.insert(place, found)
         cell.entries.insert(place, entry)
         cell.live += entry.state is ServerState.LIVE
-        self.where[entry.server] = entry.cell
+        self.where[entry.server] = entry
 
     def remove(self, server: str) -> None:
-        number = self.where.pop(server, None)
-        if number is None:
+        entry = self.where.get(server)
+        if entry is None:
             return
-        cell = self.cells[number]
-        place = cell.find(server)
-        cell.live -= cell.entries[place].state is ServerState.LIVE
-        del cell.entries[place], cell.scores[place]
+        cell, place = self.cells[entry.cell], self.place(entry)
+        cell.live -= entry.state is ServerState.LIVE
+        del cell.entries[place], cell.scores[place], self.where[server]
 
     def live(self, number: int) -> int:
         cell = self.cells.get(number)
         return cell.live if cell is not None else 0
 
-    def held(self, server: str) -> bool:
-        number = self.where.get(server)
-        return number is not None and server in self.cells[number].held
+    def held(self, server: str) -> ServerEntry | None:
+        """As it was told, if its cell uses it."""
+        entry = self.where.get(server)
+        return self.cells[entry.cell].held.get(server) if entry is not None else None
--- /dev/null
+++ b/tests/subsets/following.py
@@ -0,0 +1,87 @@
+"""A subset with a follower that applies its events as the module does, and holds them to S7."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+
+from stepknot.interface import ListKind, ListReceived, ServerEntry, ServerState
+from stepknot.subsets.model import Shape, SubsetSettings
+from stepknot.subsets.subset import Subset
+
+NOW, COLD_TIME = 1000.0, 10.0
+LIVE, DRAINING, GONE = ServerState.LIVE, ServerState.DRAINING, ServerState.GONE
+FULL, CHANGES = ListKind.FULL, ListKind.CHANGES
+
+
+def node(server: str, cell: int = 0, state: ServerState = LIVE, zone: str = "a", size: float = 1.0,
+         up_since: float = 0.0) -> ServerEntry:
+    return ServerEntry(server, zone, cell, state, size, up_since)
+
+
+class Follower:
+    """`view` is what the module has been told, `truth` what the lists said last."""
+
+    def __init__(self, instances: int = 6600, cells: int = 1, reach: int = 1, identity: str = "broker-1",
+                 **changes: Any) -> None:
+        values: dict[str, Any] = dict(size=4, holders=1.0, zone="a", tiers=(("b",),))
+        self.subset = Subset(SubsetSettings(identity, **(values | changes)), Shape(cells, reach, COLD_TIME), instances)
+        self.view: dict[str, ServerEntry] = {}
+        self.truth: dict[str, ServerEntry] = {}
+        self.events: list[ListReceived] = []
+        self.now = NOW
+
+    def take(self, kind: ListKind, entries: Iterable[ServerEntry]) -> Follower:
+        entries = tuple(entries)
+        self.subset.take(ListReceived(kind, entries))
+        if kind is not CHANGES:
+            self.truth = {}
+        self.truth |= {entry.server: entry for entry in entries}
+        return self
+
+    def advance(self) -> bool:
+        more = self.subset.advance(self.now)
+        found, self.subset.out = self.subset.out, []
+        for event in found:
+            self.apply(event)
+        if not (self.subset.unread or self.subset.search or self.subset.urgent):
+            stale = [server for server, entry in self.view.items() if entry.state is LIVE and not self.usable(server)]
+            assert not stale or not found, f"live by the module, not by the lists: {stale}"
+        return more
+
+    def usable(self, server: str) -> bool:
+        entry = self.truth.get(server)
+        return entry is not None and entry.state is LIVE
+
+    def finish(self) -> Follower:
+        while self.advance():
+            pass
+        assert not self.subset.told and not self.subset.out
+        return self
+
+    def at(self, now: float) -> Follower:
+        self.now = now
+        return self.finish()
+
+    def apply(self, event: ListReceived) -> None:
+        self.events.append(event)
+        if event.kind is not CHANGES:
+            self.view = {}
+        for entry in event.entries:
+            if entry.state is GONE:
+                self.view.pop(entry.server, None)
+            else:
+                assert entry.state is LIVE or entry.server in self.view, f"S7: {entry} drains and enters"
+                self.view[entry.server] = entry
+        # One event holds all that one choice changed: there is no time at which a part of it is told.
+        assert self.view == self.held()
+
+    def held(self) -> dict[str, ServerEntry]:
+        cells = self.subset.index.cells.values()
+        return {server: entry for cell in cells for server, entry in cell.held.items()}
+
+    def warm(self, entry: ServerEntry) -> bool:
+        return entry.state is LIVE and not 0 < entry.up_since <= self.now < entry.up_since + COLD_TIME
+
+    def names(self) -> set[str]:
+        return set(self.view)
