--- a/stepknot/lab/box.py
+++ b/stepknot/lab/box.py
@@ -197,7 +197,11 @@
         able = self.able() * self.plan.cores * self.rules.fall_time
         if sum(each for _, each in self.recent) > self.rules.fall_multiple * able:
             self.tap.note("fell", age=now - self.started)
-            os._exit(FELL_OVER)
+            self.end(FELL_OVER)
+
+    def end(self, code: int) -> None:
+        """At once, with nothing said to anybody."""
+        os._exit(code)
 
     def fault(self, kind: str, agent: str = "") -> Fault | None:
         fault = self.faults.get(kind)
@@ -546,7 +550,7 @@
             return self.error(400, f"unknown fault {kind!r}; known: {', '.join(FAULTS)}, clear")
         self.tap.note("fault", kind=kind, seconds=seconds)
         if kind == "crash":
-            os._exit(CRASHED)
+            self.end(CRASHED)
         if kind == "clear":
             self.faults = {}
             self.cores.paused_until = 0.0
--- a/stepknot/lab/day.py
+++ b/stepknot/lab/day.py
@@ -72,8 +72,15 @@
         self.events.note("end")
 
     def tend(self) -> None:
-        """Lists boxes that came up, takes off those that died; ends the loop when all is over."""
-        now = self.loop.clock()
+        """Keeps the list; ends the loop when all is over."""
+        self.tend_boxes()
+        if self.loop.clock() > self.until and not self.open:
+            self.loop.stop()
+        else:
+            self.loop.call_later(0.1, self.tend)
+
+    def tend_boxes(self) -> None:
+        """Lists boxes that came up, takes off those that died."""
         for box in self.fleet.boxes:
             if box.listed and not box.running:
                 box.listed = False
@@ -81,10 +88,6 @@
             elif not box.listed and box.running and readable(box.process):
                 self.fleet.box_ready(box)
                 self.write_list()
-        if now > self.until and not self.open:
-            self.loop.stop()
-        else:
-            self.loop.call_later(0.1, self.tend)
 
     def write_list(self) -> None:
         if not self.list_frozen:
--- a/stepknot/lab/fleet.py
+++ b/stepknot/lab/fleet.py
@@ -178,23 +178,26 @@
     return f"{kind} {{\n{body}}}\n\n" if keys else ""
 
 
-def free_ports(count: int) -> list[int]:
-    """Ports that were free a moment ago, all different, and none that a connecting socket may be given meanwhile."""
+def free_ports(count: int, host: str = "127.0.0.1") -> list[int]:
+    """Ports that were free a moment ago, for connections and for datagrams, all different, and none that a connecting
+    socket may be given meanwhile."""
     chance = random.SystemRandom()
-    socks: dict[int, socket.socket] = {}
-    while len(socks) < count:
+    ports: set[int] = set()
+    while len(ports) < count:
         port = chance.randrange(*LISTENING)
-        if port not in socks:
-            sock = socket.socket()
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                sock.close()
-            else:
-                socks[port] = sock
-    for sock in socks.values():
-        sock.close()
-    return list(socks)
+        if port not in ports and is_free(host, port):
+            ports.add(port)
+    return list(ports)
+
+
+def is_free(host: str, port: int) -> bool:
+    with socket.socket() as stream, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
+        try:
+            stream.bind((host, port))
+            datagrams.bind((host, port))
+        except OSError:
+            return False
+    return True
 
 
 @dataclass(slots=True)
@@ -209,10 +212,11 @@
     listed: bool = False
     draining: bool = False
     died: float = 0.0
+    host: str = "127.0.0.1"
 
     @property
     def address(self) -> str:
-        return f"127.0.0.1:{self.port}"
+        return f"{self.host}:{self.port}"
 
     @property
     def running(self) -> bool:
