stepknot scale: real brokers among simulated members and nodes, through troubles, audited

Control's cost at size was known from the model alone. Real brokers run among members that are the shipped membership on real datagrams, many on a loop, and stand-in nodes, many on a loop; start, crash, stall, cut, a zone's loss and return and a rolling restart are played in order and bounded in time while clients ask. It reports control's CPU, memory and bytes and the times until views are right, the model's beside them, and the audit's verdicts from the sockets' notes. It refuses to start without room for it, and ends each process by id.

Seen: with a period of 200 ms and the default rate of 2,000 bytes a second heartbeats take all of the rate, joins go unanswered and 13 of 30 members were not let in within 60 s; the command scales the rate to the period.

--- a/stepknot/cli/main.py
+++ b/stepknot/cli/main.py
@@ -482,6 +482,54 @@
     show_audit(folder, as_json)
 
 
+@cli.command()
+@click.option("--real", type=click.IntRange(3, 9), default=3, show_default=True, help="Brokers that are processes.")
+@click.option("--members", type=click.IntRange(12, 2000), default=100, show_default=True, help="Simulated members.")
+@click.option("--nodes", type=click.IntRange(12, 400), default=24, show_default=True)
+@click.option("--shards", type=click.IntRange(4, 1024), default=12, show_default=True)
+@click.option("--seconds", type=click.FloatRange(min=5.0), default=180.0, show_default=True,
+              help="The longest that it may take; what is not reached by then is reported so.")
+@click.option("--seed", type=int, default=1, show_default=True, help="Of traffic and of who is struck.")
+@click.option("--rate", type=click.FloatRange(min=1.0), default=20.0, show_default=True, help="Queries a second.")
+@click.option("--period", type=Seconds(), default="500ms", show_default=True, help="Of membership's heartbeats.")
+@click.option("--pause", type=Seconds(), default="5s", show_default=True, help="For which a member may stand still.")
+@click.option("--out", type=click.Path(path_type=Path), default=Path("scale-out"), show_default=True,
+              help="Folder for records, logs and settings.")
+@click.option("--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="All figures, in this file.")
+@click.option("--config-extra", type=CONFIG, help="HCL for the end of each real broker's settings; {name} is its name.")
+@click.option("--model/--no-model", default=True, show_default=True, help="Run the model beside it.")
+def scale(real: int, members: int, nodes: int, shards: int, seconds: float, seed: int, rate: float, period: float,
+          pause: float, out: Path, json_file: Path | None, config_extra: Path | None, model: bool) -> None:
+    """Play troubles on real brokers among simulated members and nodes, and measure what control costs there.
+
+    In their order: start of all, a crash of some members, a stall, a cut, a zone's loss and return, a rolling restart
+    of the brokers. Exit code 1 where a rule was broken or a step's end not reached, 2 where there is no room for it.
+
+    \b
+    Example: stepknot scale --real 3 --members 200 --json scale.json
+    """
+    import signal
+
+    import msgspec
+
+    from stepknot.lab.scale_plan import Machine, ScalePlan, refusal
+    from stepknot.lab.scale_report import table
+    from stepknot.lab.scale_run import run_scale
+
+    plan = ScalePlan(out, real, members, nodes, shards, seconds, seed, rate, period=period, pause=pause,
+                     extra=config_extra.read_text() if config_extra is not None else "")
+    problem = refusal(plan, Machine.here())
+    if problem:
+        click.echo(f"error: {problem}", err=True)
+        raise SystemExit(2)
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(128 + number))  # all that was started ends first
+    result = run_scale(plan, progress(), model)
+    if json_file is not None:
+        json_file.write_bytes(msgspec.json.format(msgspec.json.encode(result), indent=1) + b"\n")
+    click.echo(table(result))
+    raise SystemExit(0 if result.good else 1)
+
+
 def show_audit(folder: Path, as_json: bool) -> None:
     import orjson
 
--- /dev/null
+++ b/stepknot/lab/scale_model.py
@@ -0,0 +1,136 @@
+"""The model's figures for a scale run: its members, settings and troubles, on a virtual clock.
+
+In a process of its own, so that its memory is the model's: `python -m stepknot.lab.scale_model SPEC.json`.
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+
+from stepknot.lab.peers_model import Model
+from stepknot.lab.scale_figures import Cost, Times
+from stepknot.lab.scale_members import START_SPREAD, resident
+from stepknot.peers.model import PeerSettings, State
+
+STEP = 0.1  # seconds between two looks at the views
+EPOCH = 1_790_000_000_000  # as a wall's clock gives it: the same number of bytes in a datagram
+FAREWELL = 1.0  # seconds from a member's leave to its next start
+
+
+class ModelSpec(msgspec.Struct, frozen=True):
+    """How many members, and how many of them each trouble strikes; times in seconds."""
+
+    size: int
+    seed: int
+    period: float
+    pause: float
+    tombstone: float
+    rate: int  # bytes a second
+    seconds: float  # that the whole may take, on the model's clock
+    calm: float
+    crashed: int
+    stalled: float
+    cut: int
+    zone: int
+    restarts: int
+
+
+class ModelFigures(msgspec.Struct, frozen=True):
+    cost: Cost
+    times: Times
+    deaths: int  # of members that ran all the time and were not cut off
+    seconds: float  # on the model's clock
+
+
+def until(model: Model, what: Callable[[], bool], end: float) -> float | None:
+    """Seconds until it is so."""
+    begun = model.now
+    if what():
+        return 0.0
+    for _ in model.steps(end, STEP):
+        if what():
+            return model.now - begun
+    return None
+
+
+def outside_agree(model: Model, inside: set[str]) -> bool:
+    """Whether all that are not cut off hold exactly each other alive."""
+    names = {each.name for each in model.up()} - inside
+    return all({name for name, state in view.items() if state is State.ALIVE} == names
+               and State.SUSPECT not in view.values()
+               for who, view in model.views().items() if who not in inside)
+
+
+def play(spec: ModelSpec) -> ModelFigures:
+    empty = resident(os.getpid())
+    settings = PeerSettings(period=spec.period, pause=spec.pause, tombstone=spec.tombstone, rate=float(spec.rate),
+                            burst=8.0 * spec.rate)
+    model = Model(spec.size, spec.seed, settings)
+    model.epoch = EPOCH
+    end, times = spec.seconds, {}
+    model.run(START_SPREAD)
+    times["start"] = until(model, model.settled, end)
+    sent, cpu, begun = sum(each.sent for each in model.up()), time.process_time(), model.now
+    model.run(begun + spec.calm)
+    cost = Cost((time.process_time() - cpu) / spec.calm / spec.size, (resident(os.getpid()) - empty) / spec.size,
+                (sum(each.sent for each in model.up()) - sent) / spec.calm / spec.size)
+    deaths: set[str] = set()
+    times |= troubles(model, spec, end, deaths)
+    return ModelFigures(cost, Times(**times), len(deaths), model.now)
+
+
+def troubles(model: Model, spec: ModelSpec, end: float, deaths: set[str]) -> dict[str, float | None]:
+    """As the run has them. The first members stand for the real brokers; who is struck is drawn from the others."""
+    times: dict[str, float | None] = {}
+    others = list(model.processes)[spec.restarts:]
+    picked = model.random.sample(others, spec.crashed + spec.zone)
+    crashed, zone = picked[:spec.crashed], picked[spec.crashed:]
+    inside: set[str] = set()
+
+    def note(struck: set[str], since: float) -> None:
+        deaths.update(change.name for when, _, change in model.log
+                      if when >= since and change.after is State.DEAD and change.name not in struck | set(crashed))
+
+    for name in crashed:
+        model.kill(name)
+    times["crash"] = until(model, model.settled, end)
+    since = model.now
+    model.pause("b0", spec.stalled)
+    model.run(model.now + spec.stalled)
+    times["stall"] = until(model, model.settled, end)
+    note(set(), since)
+    since, inside = model.now, set(model.random.sample([each for each in others if each not in crashed], spec.cut))
+    model.network.cut = lambda source, target: (source in inside) != (target in inside)
+    times["cut"] = until(model, lambda: outside_agree(model, inside), end)
+    model.network.cut = lambda source, target: False
+    times["heal"] = until(model, model.settled, end)
+    note(inside, since)
+    since = model.now
+    for name in zone:
+        model.kill(name)
+    times["zone_lost"] = until(model, model.settled, end)
+    for name in zone:
+        model.at(model.now + model.random.uniform(0, START_SPREAD), lambda name=name: model.start(name))  # type: ignore[misc]
+    model.run(model.now + START_SPREAD)
+    times["zone_back"] = until(model, model.settled, end)
+    restarts = [restart(model, f"b{number}", end) for number in range(spec.restarts)]
+    times["restart"] = None if None in restarts else max([each for each in restarts if each is not None], default=None)
+    note(set(zone), since)
+    return times
+
+
+def restart(model: Model, name: str, end: float) -> float | None:
+    model.leave(name)
+    model.run(model.now + FAREWELL + STEP)
+    model.start(name)
+    return until(model, model.settled, end)
+
+
+if __name__ == "__main__":
+    print(msgspec.json.encode(play(msgspec.json.decode(Path(sys.argv[1]).read_bytes(), type=ModelSpec))).decode())
