A lost zone's lists in the subset model, and planted defects that its tests must see

Change: a test that a lost zone leaves every subset and comes back as it was once warm; eight rows of bench/mutants.py.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -27,6 +27,8 @@
 FAILURES = "tests/test_failures.py"
 PEERS, FUZZED = "tests/peers/test_model.py", "tests/peers/test_decisions.py"
 OWNED, OWNMODEL = "tests/ownership/test_decisions.py", "tests/ownership/test_model.py"
+SUBSET_COST = "tests/lab/test_subset_cost.py"
+SUBSET_RULES = f"{SUBSET_COST}::test_every_query_gets_one_final_answer_and_no_part_goes_where_it_must_not"
 SIGTERM = f"{PROCESS}::test_sigterm_serves_what_still_comes_finishes_what_is_in_work_and_exits_with_0"
 Row = tuple[str, str, str, str]
 ROWS: list[Row] = [
@@ -426,6 +428,21 @@
      f"{LOOP}::test_datagrams_that_come_at_once_are_all_read_and_others_have_their_turn"),
     ("logic.py", "self.instances = max(event.instances, 1)", "pass",
      f"{FAILURES}::test_the_number_of_instances_that_may_be_there_sets_each_ones_share_of_a_cold_server"),
+    ("logic.py", "if capsule.entry.state is ServerState.LIVE:", "if True:", SUBSET_RULES),
+    ("logic.py", "self.queries.pop(query.number, None)", "pass", SUBSET_RULES),
+    ("subsets/choice.py", "return max(LEAST_QUOTA, *found)", "return max(LEAST_QUOTA, *found) + 1",
+     f"{SUBSET_COST}::test_a_subset_holds_exactly_its_size_of_each_shard_and_told_the_module_no_more"),
+    ("lab/subset_cost.py", "random.Random(f\"{seed} queries of {number}\")", "random.Random()",
+     f"{SUBSET_COST}::test_a_seed_gives_the_same_run_and_another_seed_another"),
+    ("lab/subset_cost.py", "random.Random(f\"{seed} queries of {number}\")",
+     "random.Random(f\"{seed} queries of {number} {world.variant}\")",
+     f"{SUBSET_COST}::test_all_lists_get_the_same_queries_with_the_same_work"),
+    ("lab/subset_cost.py", "if able >= 1.0:", "if True:",
+     f"{SUBSET_COST}::test_a_cold_node_that_gets_more_than_it_bears_falls_and_one_that_gets_less_does_not"),
+    ("lab/subset_cost.py", "self.after(DETECTION, self.tell, nodes, ServerState.GONE)", "pass",
+     f"{SUBSET_COST}::test_a_lost_zone_is_told_of_and_comes_back_cold_on_every_list"),
+    ("lab/subset_cost.py", "self.world.at(warm_at, self.choose)", "pass",
+     f"{SUBSET_COST}::test_a_lost_zone_is_told_of_and_comes_back_cold_on_every_list"),
 ]
 
 
--- a/tests/lab/test_subset_cost.py
+++ b/tests/lab/test_subset_cost.py
@@ -58,3 +58,19 @@
             node.check_fall(0.1)
         assert (world.counts.falls, node.up) == (falls, not falls)
         assert node.entry.state is ServerState.LIVE  # the list tells of it later
+
+
+def test_a_lost_zone_is_told_of_and_comes_back_cold_on_every_list() -> None:
+    """Its nodes leave each subset within detection and spread; once they are warm each list is as it was."""
+    world = World("zone lost", SUBSET, 1, SMALL)
+    lost = {server for server, node in world.nodes.items() if node.entry.zone == "z1"}
+    cells = {}
+    for passed in (0.9, 1.65, 6.25):  # before, gone for 0.65 s, warm for 0.25 s
+        world.end = world.begin + passed - 0.8  # a run goes on for two deadlines past its end
+        world.run()
+        cells[passed] = [{capsule.entry.server for each in broker.module.cells.values() for capsule in each}
+                         for broker in world.brokers]
+    assert all(each & lost for each in cells[0.9]) and not any(each & lost for each in cells[1.65])
+    assert cells[6.25] == cells[0.9]
+    assert all(capsule.entry.sharers == 0.0 for broker in world.brokers
+               for each in broker.module.cells.values() for capsule in each)
