--- a/bench/subset_cost.py
+++ b/bench/subset_cost.py
@@ -27,6 +27,7 @@
        2.120, 2.110, 2.101, 2.093, 2.086, 2.080, 2.074, 2.069, 2.064, 2.060, 2.056, 2.052, 2.048, 2.045, 2.042)
 MOST_SEEDS = len(T95) + 1
 QUICK_SECONDS = 3.0
+FLEET = Fleet()
 Figure = Callable[[Found], float]
 FIGURES: dict[str, tuple[str, Figure]] = {  # by heading: how it is written, and what it is
     "in time %": ("{:.2f}", lambda found: 100 * found.in_time),
@@ -98,15 +99,15 @@
 @click.option("--only", "scenarios", multiple=True, type=click.Choice(list(SCENARIOS)), default=tuple(SCENARIOS))
 @click.option("--k", "sizes", default="whole,2,3,4,8,16", show_default=True, help="Replicas a shard; whole: all.")
 @click.option("--near", "nears", default=f"1,{DEFAULT_NEAR:g}", show_default=True, help="How much the own zone counts.")
-@click.option("--brokers", default=Fleet.brokers, show_default=True, help="With the same rate of all together.")
-@click.option("--replicas", default=Fleet.replicas, show_default=True, help="Of each shard.")
+@click.option("--brokers", default=FLEET.brokers, show_default=True, help="With the same rate of all together.")
+@click.option("--replicas", default=FLEET.replicas, show_default=True, help="Of each shard.")
 @click.option("--quick", is_flag=True, help="Two seeds, a shorter time.")
 @click.option("--json", "file", type=click.Path(dir_okay=False, path_type=Path), help="Each run's figures.")
 @click.option("--jobs", default=os.cpu_count() or 1, show_default=True, help="Processes.")
 def main(seeds: int, scenarios: tuple[str, ...], sizes: str, nears: str, brokers: int, replicas: int, quick: bool,
          file: Path | None, jobs: int) -> None:
     """Play each scenario with the whole list and with subsets of it."""
-    fleet = Fleet(brokers=brokers, replicas=replicas)
+    fleet = dataclasses.replace(FLEET, brokers=brokers, replicas=replicas)
     if quick:
         seeds, fleet = 2, dataclasses.replace(fleet, seconds=QUICK_SECONDS)
     variants, rows = parse_variants(sizes, nears), []
