--- a/bench/scale.py
+++ b/bench/scale.py
@@ -113,7 +113,7 @@
     for axis, ((case, unit, x_name), group) in zip(axes.flat, panels.items(), strict=False):
         for series in group:
             draw_series(axis, series)
-        axis.set(title=case, xlabel=x_name, ylabel=unit, xscale="log", ylim=(0, None))
+        axis.set(title=case, xlabel=x_name, ylabel=unit, xlim=(0, None), ylim=(0, None))
         axis.title.set_fontsize(9)
         axis.legend(fontsize=6)
     figure.tight_layout()
@@ -127,8 +127,8 @@
                          label=series.name.partition(": ")[2])
     fit = series.fit
     if fit is not None:
-        steps = [fit.low * (fit.high / fit.low) ** (step / 50) for step in range(51)]
-        axis.plot(steps, [fit.at(x) for x in steps], "--", linewidth=0.8, color=line[0].get_color())
+        axis.plot([fit.low, fit.high], [fit.at(fit.low), fit.at(fit.high)], "--", linewidth=0.8,
+                  color=line[0].get_color())
 
 
 @click.command(help=__doc__)
--- a/bench/scale_decide.py
+++ b/bench/scale_decide.py
@@ -190,7 +190,7 @@
         for seed in effort.seeds:
             size, _ = bytes_of(lambda nodes=nodes, settings=settings, seed=seed:  # type: ignore[misc]
                                Driver(settings, make_entries(nodes // 2, 2), seed))
-            gathered.add("memory", "bytes", nodes, size)
+            gathered.add("memory with the entries", "bytes", nodes, size)
     yield from gathered.series("decide, 2 replicas, 6 parts")
 
 
--- a/bench/scale_members.py
+++ b/bench/scale_members.py
@@ -154,12 +154,14 @@
 
 def make_settled(size: int) -> Make:
     """Members that hold each other to be alive from the start, with nothing left to tell."""
+    records = [record(number) for number in range(size)]
+
     def make(settings: PeerSettings, own: Record, seed: int) -> Timed:
         member = Timed(settings, record(int(own.name[1:]), State.JOINING), seed)
         member.joined = True
         member.become(-math.inf, state=State.ALIVE, why="it is settled")
-        for number in range(size):
-            member.put(-math.inf, record(number), "it is settled")
+        for each in records:
+            member.put(-math.inf, each, "it is settled")
         member.news.left.clear()
         member.take()
         return member
