--- a/tests/subsets/test_subsetting.py
+++ b/tests/subsets/test_subsetting.py
@@ -152,7 +152,7 @@
     world.turn()
     world.listed.set_out([held.server])
     turns = world.until(lambda: world.core()[held.server].state is ServerState.DRAINING)
-    assert turns <= 4 and len(world.own.subset.pending[0].entries) > 7000, "the long list is hardly begun"
+    assert turns <= 4 and len(world.own.subset.pending.names) > 7000, "the long list is hardly begun"
     replacing = [entry for entry in world.core().values()
                  if entry.cell == held.cell and entry.state is ServerState.LIVE]
     assert len(replacing) == 3
@@ -242,7 +242,7 @@
     world = World()
     world.full(nodes())
     world.turn()
-    world.own.subset.pending = None  # type: ignore[assignment]
+    world.own.subset.unread = None  # type: ignore[assignment]
     world.change(replace(next(iter(world.core().values())), state=ServerState.DRAINING))
     assert world.own.off and world.core() == everything(world) and len(world.core()) == 400
 
