--- a/stepknot/broker/subsetting.py
+++ b/stepknot/broker/subsetting.py
@@ -60,9 +60,10 @@
         if self.off or event.kind is ListKind.FAILED:
             self.on_list(self.whole(event.kind, event.entries))
             return
+        begun = self.loop.clock()
         self.guarded(lambda: self.subset.take(event))
         self.note_own()
-        self.begin()
+        self.begin(begun)
 
     def count(self, instances: int) -> None:
         """No more brokers than this may be there."""
@@ -79,11 +80,12 @@
 
     # --- work
 
-    def begin(self) -> None:
+    def begin(self, begun: float | None = None) -> None:
+        """`begun`: since when this turn is held up already."""
         if self.off or self.turn is not None:
             return
         if self.loop.turns > 0:
-            self.slice()
+            self.slice(begun)
             return
         self.guarded(self.decide_all)
         while self.ready:
@@ -99,10 +101,10 @@
         self.tell_changes()
         self.watch_warming()
 
-    def slice(self) -> None:
+    def slice(self, begun: float | None = None) -> None:
         """A turn's share of the work, and the next turn's if there is more."""
         self.turn = None
-        begun = self.loop.clock()
+        begun = self.loop.clock() if begun is None else begun
         if self.ready:
             self.on_list(self.ready.popleft())
         else:
--- a/stepknot/lab/day.py
+++ b/stepknot/lab/day.py
@@ -374,9 +374,10 @@
 def run_day(folder: Path, script: Script, brokers: int, boxes: int, documents: int, seed: int,
             words: Callable[[str], None], log_level: str = "info", cold_time: float = 4.0, work_ms: float = 4.0,
             program: tuple[str, ...] = ("-m", "stepknot"), names: str = "ab", peers: dict[str, Any] | None = None,
-            **settings: Any) -> Counter[str]:
+            subset: dict[str, Any] | None = None, **settings: Any) -> Counter[str]:
     """Start a fleet, let the day happen, stop the fleet. The records stay in `folder`. `names`: a letter a zone.
-    `peers`: keys of that block, by which the brokers know each other, over links that can fail."""
+    `peers`: keys of that block, by which the brokers know each other, over links that can fail; `subset`: of that one,
+    which takes each broker's name from the former."""
     folder.mkdir(parents=True, exist_ok=True)
     for old in folder.glob("*.tap"):
         old.unlink()
@@ -387,6 +388,8 @@
         fleet.relay(seed)
         for broker in fleet.brokers:
             broker.peers |= peers
+    for broker in fleet.brokers:
+        broker.subset |= subset or {}
     day = Day(fleet, script, seed, words)
     try:
         fleet.start(words)
