--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -27,6 +27,7 @@
 FAILURES = "tests/test_failures.py"
 PEERS, FUZZED = "tests/peers/test_model.py", "tests/peers/test_decisions.py"
 OWNED, OWNMODEL = "tests/ownership/test_decisions.py", "tests/ownership/test_model.py"
+SUBSET, SUBSETS = "tests/subsets/test_subsetting.py", "tests/subsets/test_config.py"
 SIGTERM = f"{PROCESS}::test_sigterm_serves_what_still_comes_finishes_what_is_in_work_and_exits_with_0"
 Row = tuple[str, str, str, str]
 ROWS: list[Row] = [
@@ -424,6 +425,28 @@
      f"{FUZZED}::test_watching_is_mutual_and_everybody_has_watchers"),
     ("net/loop.py", "self.loop.call_later(NEXT_TURN, self.read)", "pass",
      f"{LOOP}::test_datagrams_that_come_at_once_are_all_read_and_others_have_their_turn"),
+    ("broker/subsetting.py", "self.on_list(self.whole(ListKind.FULL,", "list(self.whole(ListKind.FULL,",
+     f"{SUBSET}::test_after_a_defect_the_core_has_the_whole_list_and_keeps_it"),
+    ("broker/subsetting.py", "if self.off or event.kind is ListKind.FAILED:", "if event.kind is ListKind.FAILED:",
+     f"{SUBSET}::test_after_a_defect_the_core_has_the_whole_list_and_keeps_it"),
+    ("broker/subsetting.py", "timer.cancel()", "pass",
+     f"{SUBSET}::test_what_was_decided_and_not_handed_over_does_not_come_after_the_whole_list"),
+    ("broker/subsetting.py", "while more and clock() < until:", "while more:",
+     f"{SUBSET}::test_a_long_list_is_taken_in_slices_and_no_turn_is_held_for_long"),
+    ("broker/subsetting.py", "self.loop.call_later(NEXT_TURN, self.slice)", "self.loop.call_later(0.0, self.slice)",
+     f"{SUBSET}::test_a_long_list_is_taken_in_slices_and_no_turn_is_held_for_long"),
+    ("broker/subsetting.py", "self.ready += parts(event)", "self.ready.append(event)",
+     f"{SUBSET}::test_a_long_list_is_taken_in_slices_and_no_turn_is_held_for_long"),
+    ("broker/subsetting.py", "self.loop.call_at(at, self.begin) if at is not None else None", "None",
+     f"{SUBSET}::test_a_cold_node_is_warm_at_its_time_though_no_list_comes"),
+    ("broker/subsetting.py", "self.guarded(lambda: self.subset.count(instances))", "pass",
+     f"{SUBSET}::test_the_count_of_brokers_sets_how_many_nodes_each_uses"),
+    ("broker/subsetting.py", "if cells <= MAX_TOLD:", "if True:",
+     f"{SUBSET}::test_few_changes_are_told_one_by_one_and_many_in_one_event"),
+    ("subsets/subset.py", "(hurried or not (self.pending or self.dirty))", "not (self.pending or self.dirty)",
+     f"{SUBSET}::test_a_node_in_use_that_drains_while_a_long_list_is_taken_in_is_passed_on_first"),
+    ("config/subset.py", "if size < around.max_attempts:", "if False:",
+     f"{SUBSETS}::test_a_default_size_under_the_attempts_is_told_where_the_block_begins"),
     ("logic.py", "self.instances = max(event.instances, 1)", "pass",
      f"{FAILURES}::test_the_number_of_instances_that_may_be_there_sets_each_ones_share_of_a_cold_server"),
 ]
--- a/stepknot/broker/subsetting.py
+++ b/stepknot/broker/subsetting.py
@@ -11,7 +11,7 @@
 
 from collections import Counter, deque
 from collections.abc import Callable, Iterable
-from dataclasses import asdict, replace
+from dataclasses import asdict
 from typing import Any
 
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
@@ -150,15 +150,14 @@
             if timer is not None:
                 timer.cancel()
         self.turn = self.warm = None
-        self.ready.clear()
         self.loop.on_error("subset", error)
         self.log("subset_off", reason=self.off, nodes=len(self.listed.entries))
         self.on_list(self.whole(ListKind.FULL, map(self.listed.seen, self.listed.entries.values())))
 
     def whole(self, kind: ListKind, entries: Iterable[ServerEntry]) -> ListReceived:
-        """As without a subset: a cold node's budget is all brokers'. Only this broker itself is still left out."""
-        return ListReceived(kind, tuple(replace(entry, sharers=0.0) if entry.sharers else entry for entry in entries
-                                        if entry.server not in self.settings.own))
+        """As without a subset: no source of a list tells `sharers`, a cold node's budget is all brokers'. Only this
+        broker itself is still left out."""
+        return ListReceived(kind, tuple(entry for entry in entries if entry.server not in self.settings.own))
 
     # --- what is told
 
