Subsets: whatever came in, in whichever order, ends as one that starts now

Change: by seed, 60 turns of changes, whole lists, drains by the ledger and counts that come while others are under way; then the nodes in use and their shares are those of a fresh process, before and after all cold ones are warm.

--- a/tests/subsets/test_subsetting.py
+++ b/tests/subsets/test_subsetting.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 from pathlib import Path
@@ -216,6 +217,44 @@
         "the list", "the count of brokers"}
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_whatever_came_in_whichever_order_the_same_nodes_are_used_as_by_one_that_starts_now(seed: int) -> None:
+    """Lists of changes, whole ones, drains by the ledger and counts come while others are still taken in."""
+    chance = random.Random(seed)
+    world = World(replace(OWN, holders=30.0))
+    world.full(nodes())
+    for _ in range(60):
+        world.turn()
+        some = chance.sample(nodes(), chance.choice([1, 5, 100]))
+        what = chance.randrange(5)
+        if what < 2:
+            state = chance.choice([ServerState.LIVE, ServerState.LIVE, ServerState.DRAINING, ServerState.GONE])
+            since = chance.choice([0.0, world.now - COLD_TIME / 2, world.now])
+            world.change(*(replace(entry, state=state, up_since=since) for entry in some))
+        elif what == 2:
+            world.listed.set_out(entry.server for entry in some)
+        elif what == 3:
+            world.own.count(chance.choice([40, 100, 300]))
+        else:
+            world.full(world.listed.entries.values())
+    world.own.count(FLEET.instances)
+    world.settle()
+    fresh = World(replace(OWN, holders=30.0), now=world.now)
+    fresh.listed.out = world.listed.out
+    fresh.full(world.listed.entries.values())
+    assert not world.own.off and live(world) == live(fresh)
+    for each in (world, fresh):
+        each.now += COLD_TIME + 0.1
+        each.until(lambda each=each: each.own.turn is None and not any(  # type: ignore[misc]
+            entry.sharers for entry in each.core().values()))
+    assert live(world) == live(fresh)
+
+
+def live(world: World) -> dict[str, float]:
+    """The nodes that new parts may go to, and by how many brokers the budget of each is divided."""
+    return {server: entry.sharers for server, entry in world.core().items() if entry.state is ServerState.LIVE}
+
+
 # --- a defect of the subset's own
 
 
