--- a/tests/subsets/test_subsetting.py
+++ b/tests/subsets/test_subsetting.py
@@ -6,15 +6,30 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
+from pathlib import Path
 from typing import Any
 
+import orjson
 import pytest
 
 from stepknot.broker.subsetting import MAX_HANDED, MAX_TOLD, SLICE, Subsetting
+from stepknot.cli.serve import make
+from stepknot.config.settings import load
 from stepknot.discovery.drained import Drained
-from stepknot.interface import Limits, ListKind, ListReceived, Rules, ServerEntry, ServerState, Settings
+from stepknot.interface import (
+    InstancesCounted,
+    Limits,
+    ListKind,
+    ListReceived,
+    Rules,
+    ServerEntry,
+    ServerState,
+    Settings,
+)
+from stepknot.lab.fleet import free_ports, settings_text
 from stepknot.net.loop import Loop
 from stepknot.subsets.model import SubsetSettings
 
@@ -202,6 +217,44 @@
         "the list", "the count of brokers"}
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_whatever_came_in_whichever_order_the_same_nodes_are_used_as_by_one_that_starts_now(seed: int) -> None:
+    """Lists of changes, whole ones, drains by the ledger and counts come while others are still taken in."""
+    chance = random.Random(seed)
+    world = World(replace(OWN, holders=30.0))
+    world.full(nodes())
+    for _ in range(60):
+        world.turn()
+        some = chance.sample(nodes(), chance.choice([1, 5, 100]))
+        what = chance.randrange(5)
+        if what < 2:
+            state = chance.choice([ServerState.LIVE, ServerState.LIVE, ServerState.DRAINING, ServerState.GONE])
+            since = chance.choice([0.0, world.now - COLD_TIME / 2, world.now])
+            world.change(*(replace(entry, state=state, up_since=since) for entry in some))
+        elif what == 2:
+            world.listed.set_out(entry.server for entry in some)
+        elif what == 3:
+            world.own.count(chance.choice([40, 100, 300]))
+        else:
+            world.full(world.listed.entries.values())
+    world.own.count(FLEET.instances)
+    world.settle()
+    fresh = World(replace(OWN, holders=30.0), now=world.now)
+    fresh.listed.out = world.listed.out
+    fresh.full(world.listed.entries.values())
+    assert not world.own.off and live(world) == live(fresh)
+    for each in (world, fresh):
+        each.now += COLD_TIME + 0.1
+        each.until(lambda each=each: each.own.turn is None and not any(  # type: ignore[misc]
+            entry.sharers for entry in each.core().values()))
+    assert live(world) == live(fresh)
+
+
+def live(world: World) -> dict[str, float]:
+    """The nodes that new parts may go to, and by how many brokers the budget of each is divided."""
+    return {server: entry.sharers for server, entry in world.core().items() if entry.state is ServerState.LIVE}
+
+
 # --- a defect of the subset's own
 
 
@@ -325,3 +378,31 @@
     assert rows["stepknot_subset_listed",] == rows["stepknot_subset_live",] == 400
     assert rows["stepknot_subset_held", "warm"] == 120 and rows["stepknot_subset_cells",] == 40
     assert rows["stepknot_subset_changes_total", "list"] == 40 and len(rows) < 30
+
+
+# --- in a broker
+
+
+def test_a_broker_uses_some_nodes_before_its_first_turn_and_both_hear_the_count(tmp_path: Path) -> None:
+    """`holders` 2 of 4 brokers: half of ten replicas; of one broker all."""
+    own, admin, graph = free_ports(3)
+    rows = [{"address": f"10.0.{cell}.{number}:9200", "zone": ZONES[number % 5], "cell": cell}
+            for cell in range(4) for number in range(10)] + [
+        {"address": f"127.0.0.1:{port}", "zone": "a", "cell": 0} for port in (own, admin, graph)]
+    (tmp_path / "boxes.json").write_bytes(orjson.dumps({"boxes": rows}))
+    (tmp_path / "broker.hcl").write_text(settings_text(
+        port=own, admin=admin, graph=graph, instances=4, subset='subset {\n  identity = "b0"\n  holders = 2\n}\n'))
+    told: list[str] = []
+    service = make(load(tmp_path / "broker.hcl"), lambda event, **fields: told.append(event))
+    assert service.loop.turns == 0 and len(service.core.servers) == 4 * 5
+    assert told.count("list_names_this_broker") == 1 and len(service.listed.entries) == 43
+    service.loop.again = True
+    service.loop.turn()
+    service.note_instances(1)
+    assert InstancesCounted(1) in service.core.inbox
+    while service.subsetting is not None and service.subsetting.turn is not None:
+        service.loop.turn()
+    assert len(service.core.servers) == 40 and b"stepknot_subset_held" in service.metrics()
+    for server in (service.server, service.graph_server, service.admin):
+        if server is not None:
+            server.close()
