Scale run: start and rate as options, the model's start and addresses as the run's

At 100 members and membership's own rate 30 members were not let in 55 s after the start, as the seeds' rate was spent (5,563 datagrams kept back at one). The model had not shown it: its members start with their seeds, and have shorter addresses and epochs, so shorter datagrams. The model of a scale run now starts brokers first and has addresses and epochs of real length. The stalled broker's own count shows that it stood still; what was not reached is shown as such.

--- a/stepknot/cli/main.py
+++ b/stepknot/cli/main.py
@@ -493,13 +493,17 @@
 @click.option("--rate", type=click.FloatRange(min=1.0), default=20.0, show_default=True, help="Queries a second.")
 @click.option("--period", type=Seconds(), default="500ms", show_default=True, help="Of membership's heartbeats.")
 @click.option("--pause", type=Seconds(), default="5s", show_default=True, help="For which a member may stand still.")
+@click.option("--start-within", type=Seconds(), default="1s", show_default=True, help="For all members to start.")
+@click.option("--send-rate", type=click.IntRange(min=500), help="Bytes a second that a member may send.  "
+              "[default: membership's own, scaled to the period]")
 @click.option("--out", type=click.Path(path_type=Path), default=Path("scale-out"), show_default=True,
               help="Folder for records, logs and settings.")
 @click.option("--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="All figures, in this file.")
 @click.option("--config-extra", type=CONFIG, help="HCL for the end of each real broker's settings; {name} is its name.")
 @click.option("--model/--no-model", default=True, show_default=True, help="Run the model beside it.")
 def scale(real: int, members: int, nodes: int, shards: int, seconds: float, seed: int, rate: float, period: float,
-          pause: float, out: Path, json_file: Path | None, config_extra: Path | None, model: bool) -> None:
+          pause: float, start_within: float, send_rate: int | None, out: Path, json_file: Path | None,
+          config_extra: Path | None, model: bool) -> None:
     """Play troubles on real brokers among simulated members and nodes, and measure what control costs there.
 
     In their order: start of all, a crash of some members, a stall, a cut, a zone's loss and return, a rolling restart
@@ -517,6 +521,7 @@
     from stepknot.lab.scale_run import run_scale
 
     plan = ScalePlan(out, real, members, nodes, shards, seconds, seed, rate, period=period, pause=pause,
+                     start_within=start_within, send_rate=send_rate or 0,
                      extra=config_extra.read_text() if config_extra is not None else "")
     problem = refusal(plan, Machine.here())
     if problem:
--- a/stepknot/lab/scale_figures.py
+++ b/stepknot/lab/scale_figures.py
@@ -21,6 +21,7 @@
     kept_back: int
     alive: int
     doubtful: int  # suspect or joining
+    stood_still: int  # times that it found so of itself
 
     def holds(self, size: int) -> bool:
         return self.alive == size and not self.doubtful
@@ -64,7 +65,7 @@
         return values.get(f'{STATES}{state}"}}', 0)
 
     return BrokerState(processor_time(process), resident(process), event("bytes"), event("kept back"),
-                       members("alive"), members("suspect") + members("joining"))
+                       members("alive"), members("suspect") + members("joining"), event("stood still"))
 
 
 def processor_time(process: int) -> float:
--- a/stepknot/lab/scale_fleet.py
+++ b/stepknot/lab/scale_fleet.py
@@ -69,7 +69,7 @@
         host = f"127.{draw.randrange(1, 255)}.{draw.randrange(256)}.{draw.randrange(1, 255)}"
         ports = free_ports(4 * plan.real)
         keys = {"period": f"{plan.period}s", "pause": f"{plan.pause}s", "tombstone": f"{plan.tombstone}s",
-                "rate": plan.send_rate}
+                "rate": plan.member_rate}
         brokers = [Broker(number, port, zone_of(number), admin, graph, peer, f"b{number}", peers=dict(keys))
                    for number, (port, admin, graph, peer) in enumerate(zip(*[iter(ports)] * 4, strict=True))]
         boxes = [Box(number, port, 0, number % CELLS, zone_of(number // CELLS), host=host)
@@ -97,7 +97,8 @@
     def members_spec(self, host: MembersProcess) -> MembersSpec:
         plan = self.scale
         return MembersSpec(self.host, host.names, [("127.0.0.1", each.peer) for each in self.brokers[:3]], plan.size,
-                           plan.period, plan.pause, plan.tombstone, plan.send_rate, host.seed)
+                           plan.period, plan.pause, plan.tombstone, plan.member_rate,
+                           plan.start_within, host.seed)
 
     def nodes_spec(self, host: NodesHost, cold: bool) -> NodesSpec:
         nodes = [NodeSpec(box.number, box.port, box.cell, box.zone) for box in host.boxes]
--- a/stepknot/lab/scale_members.py
+++ b/stepknot/lab/scale_members.py
@@ -29,7 +29,6 @@
 from stepknot.peers.model import PeerSettings, State
 
 Address = tuple[str, int]
-START_SPREAD = 1.0  # seconds over which members start, as in the model
 PARENT_LOOK = 1.0  # seconds between two looks whether the parent is there
 
 
@@ -42,6 +41,7 @@
     pause: float
     tombstone: float
     rate: int  # bytes a second
+    start_within: float  # seconds over which they start
     seed: int
 
     def settings(self) -> PeerSettings:
@@ -145,7 +145,8 @@
 
     def start(self) -> None:
         for name in self.spec.names:
-            self.loop.call_later(self.loop.rng.uniform(0, START_SPREAD), lambda name=name: self.start_member(name))  # type: ignore[misc]
+            self.loop.call_later(self.loop.rng.uniform(0, self.spec.start_within),
+                                 lambda name=name: self.start_member(name))  # type: ignore[misc]
 
     def start_member(self, name: str) -> None:
         self.members[name] = Peering(
--- a/stepknot/lab/scale_model.py
+++ b/stepknot/lab/scale_model.py
@@ -9,17 +9,19 @@
 import sys
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 
 import msgspec
 
 from stepknot.lab.peers_model import Model
 from stepknot.lab.scale_figures import Cost, Times
-from stepknot.lab.scale_members import START_SPREAD, resident
+from stepknot.lab.scale_members import resident
 from stepknot.peers.model import PeerSettings, State
 
 STEP = 0.1  # seconds between two looks at the views
-EPOCH = 1_790_000_000_000  # as a wall's clock gives it: the same number of bytes in a datagram
+# As a wall's clock, the kernel and the run give them: the same number of bytes in a datagram.
+EPOCH, HOST, PORT = 1_790_000_000_000, "127.100.100.100", 40_000
 FAREWELL = 1.0  # seconds from a member's leave to its next start
 
 
@@ -33,12 +35,14 @@
     tombstone: float
     rate: int  # bytes a second
     seconds: float  # that the whole may take, on the model's clock
+    brokers: int  # that are there before the others start
+    alone: float
+    start_within: float
     calm: float
     crashed: int
     stalled: float
     cut: int
     zone: int
-    restarts: int
 
 
 class ModelFigures(msgspec.Struct, frozen=True):
@@ -71,10 +75,12 @@
     empty = resident(os.getpid())
     settings = PeerSettings(period=spec.period, pause=spec.pause, tombstone=spec.tombstone, rate=float(spec.rate),
                             burst=8.0 * spec.rate)
-    model = Model(spec.size, spec.seed, settings)
-    model.epoch = EPOCH
+    model = Model(spec.brokers, spec.seed, settings)
+    model.settings, model.epoch = replace(model.settings, configured=spec.size), EPOCH
     end, times = spec.seconds, {}
-    model.run(START_SPREAD)
+    until(model, lambda: len(model.up()) == spec.brokers and model.settled(), end)
+    model.run(model.now + spec.alone)
+    start(model, [f"m{number}" for number in range(spec.size - spec.brokers)], spec)
     times["start"] = until(model, model.settled, end)
     sent, cpu, begun = sum(each.sent for each in model.up()), time.process_time(), model.now
     model.run(begun + spec.calm)
@@ -85,10 +91,18 @@
     return ModelFigures(cost, Times(**times), len(deaths), model.now)
 
 
+def start(model: Model, names: list[str], spec: ModelSpec) -> None:
+    for name in names:
+        address = HOST, PORT + int(name[1:])
+        model.at(model.now + model.random.uniform(0, spec.start_within),
+                 lambda name=name, address=address: model.start(name, address))  # type: ignore[misc]
+    model.run(model.now + spec.start_within)
+
+
 def troubles(model: Model, spec: ModelSpec, end: float, deaths: set[str]) -> dict[str, float | None]:
     """As the run has them. The first members stand for the real brokers; who is struck is drawn from the others."""
     times: dict[str, float | None] = {}
-    others = list(model.processes)[spec.restarts:]
+    others = list(model.processes)[spec.brokers:]
     picked = model.random.sample(others, spec.crashed + spec.zone)
     crashed, zone = picked[:spec.crashed], picked[spec.crashed:]
     inside: set[str] = set()
@@ -115,11 +129,9 @@
     for name in zone:
         model.kill(name)
     times["zone_lost"] = until(model, model.settled, end)
-    for name in zone:
-        model.at(model.now + model.random.uniform(0, START_SPREAD), lambda name=name: model.start(name))  # type: ignore[misc]
-    model.run(model.now + START_SPREAD)
+    start(model, zone, spec)
     times["zone_back"] = until(model, model.settled, end)
-    restarts = [restart(model, f"b{number}", end) for number in range(spec.restarts)]
+    restarts = [restart(model, f"b{number}", end) for number in range(spec.brokers)]
     times["restart"] = None if None in restarts else max([each for each in restarts if each is not None], default=None)
     note(set(zone), since)
     return times
--- a/stepknot/lab/scale_plan.py
+++ b/stepknot/lab/scale_plan.py
@@ -48,13 +48,13 @@
     period: float = 0.5
     pause: float = 5.0
     tombstone: float = 600.0
+    start_within: float = 1.0  # over which the simulated members start
+    send_rate: int = 0  # bytes a second that a member may send; 0: the default, scaled to the period
     extra: str = ""
 
     @property
-    def send_rate(self) -> int:
-        """Bytes a second that a member may send: the default, scaled to the period. Where heartbeats alone take all of
-        it, nobody is let in."""
-        return round(DEFAULT.rate * DEFAULT.period / self.period)
+    def member_rate(self) -> int:
+        return self.send_rate or round(DEFAULT.rate * DEFAULT.period / self.period)
 
     @property
     def size(self) -> int:
--- a/stepknot/lab/scale_report.py
+++ b/stepknot/lab/scale_report.py
@@ -16,14 +16,17 @@
 
 
 def costs(result: Result) -> list[str]:
-    rows = [(f"{result.real} real brokers", result.broker), (f"{result.members} simulated members", result.member)]
+    rows: list[tuple[str, Cost | None]] = [(f"{result.real} real brokers", result.broker),
+                                           (f"{result.members} simulated members", result.member)]
     if result.model is not None:
         rows.append((f"model, {result.real + result.members} members", result.model.cost))
     return [f"{'control in quiet, of one member':<32} {'% of a core':>12} {'memory, KB':>12} {'sent, B/s':>12}",
             *(f"{name:<32} {cost_row(cost)}" for name, cost in rows)]
 
 
-def cost_row(cost: Cost) -> str:
+def cost_row(cost: Cost | None) -> str:
+    if cost is None:
+        return " ".join([f"{'-':>12}"] * 3)
     return f"{100 * cost.cpu:>12.3f} {cost.memory / 1000:>12.0f} {cost.sent:>12.0f}"
 
 
--- a/stepknot/lab/scale_run.py
+++ b/stepknot/lab/scale_run.py
@@ -26,7 +26,7 @@
 from stepknot.lab.fleet import Broker, read_ready, readable
 from stepknot.lab.scale_figures import BrokerState, Cost, Sample, Times, broker_cost, member_cost, read_broker, shares
 from stepknot.lab.scale_fleet import DEADLINE, MembersProcess, NodesHost, ScaleFleet, Started, running
-from stepknot.lab.scale_members import START_SPREAD, Address, Crash, Cut, MembersState
+from stepknot.lab.scale_members import Address, Crash, Cut, MembersState
 from stepknot.lab.scale_model import ModelFigures, ModelSpec
 from stepknot.lab.scale_plan import ZONES, ScalePlan, chance
 from stepknot.lab.script import Script
@@ -62,11 +62,14 @@
     shards: int
     seed: int
     seconds: float
-    broker: Cost
-    member: Cost
+    broker: Cost | None  # none: not reached
+    member: Cost | None
     model: ModelFigures | None
     times: Times
     false_deaths: int
+    stood_still: int  # times that the stalled broker found that it had
+    send_rate: int  # bytes a second that a member may send
+    start_within: float
     not_reached: list[str]
     answers: dict[str, int]
     rules: list[Rule]
@@ -81,8 +84,9 @@
     """What is known so far."""
 
     times: dict[str, float | None] = field(default_factory=dict)
-    broker: Cost = Cost(0.0, 0.0, 0.0)
-    member: Cost = Cost(0.0, 0.0, 0.0)
+    broker: Cost | None = None
+    member: Cost | None = None
+    stood_still: int = 0
     deaths: set[str] = field(default_factory=set)  # of members that were there
     struck: Counter[str] = field(default_factory=Counter)  # members, by the trouble that took them
 
@@ -211,7 +215,7 @@
         self.note_step("start", [self.plan.members])
         yield from self.order("/start")
         self.size = self.plan.size
-        yield from self.loop.sleep(START_SPREAD)
+        yield from self.loop.sleep(self.plan.start_within)
         yield from self.settle("start", self.size)
 
     def calm(self) -> Coroutine:
@@ -246,7 +250,7 @@
         """A real broker stands still for less than membership bears: nobody is to be held dead."""
         broker = self.fleet.brokers[-1]
         number = process_id(broker.process)
-        before = yield from self.sample(self.size)
+        before = yield from self.whole_sample()
         self.note_step("stall", [broker.name])
         self.events.note("broker_down", port=broker.port, stalled=True)
         os.kill(number, signal.SIGSTOP)
@@ -256,6 +260,8 @@
             os.kill(number, signal.SIGCONT)
         self.events.note("broker_up", port=broker.port, stalled=True)
         yield from self.settle("stall", self.size)
+        after = yield from self.whole_sample()
+        self.measured.stood_still = stood_still(after) - stood_still(before)
         yield from self.note_deaths(before, [])
 
     def cut(self) -> Coroutine:
@@ -297,7 +303,7 @@
             yield from self.wait_ready(host.process)
             self.fleet.members_ready(host)
         yield from self.order("/start", hosts=members)
-        yield from self.loop.sleep(START_SPREAD)
+        yield from self.loop.sleep(self.plan.start_within)
 
     def wait_ready(self, process: Started | None) -> Coroutine:
         while not readable(process):
@@ -343,6 +349,12 @@
                                  and name not in struck and name not in self.crashed}
 
 
+def stood_still(sample: Sample) -> int:
+    """At the broker that is stalled: the last one."""
+    state = sample.brokers[-1]
+    return state.stood_still if state is not None else 0
+
+
 def hand_over(done: Signal, parser: ClientParser | None, outcome: Outcome, reason: str) -> None:
     done.set(parser)
 
@@ -378,16 +390,16 @@
     steps = [name for name in Times.__struct_fields__ if times.get(name) is None]
     model = run_model(plan, run.measured.struck, words) if with_model else None
     return Result(plan.real, plan.members, plan.nodes, plan.shards, plan.seed, run.until - run.begun,
-                  run.measured.broker, run.measured.member, model, Times(**times), len(run.measured.deaths), steps,
-                  dict(run.counts), rules)
+                  run.measured.broker, run.measured.member, model, Times(**times), len(run.measured.deaths),
+                  run.measured.stood_still, plan.member_rate, plan.start_within, steps, dict(run.counts), rules)
 
 
 def run_model(plan: ScalePlan, struck: Counter[str], words: Callable[[str], None]) -> ModelFigures:
     """In a process of its own. `struck`: how many members each trouble took in the run."""
     words(f"the model with {plan.size} members")
-    spec = ModelSpec(plan.size, plan.seed, plan.period, plan.pause, plan.tombstone, plan.send_rate, plan.seconds,
-                     CALM * plan.period, struck["crash"], STALLED * plan.pause, struck["cut"], struck["zone"],
-                     plan.real)
+    spec = ModelSpec(plan.size, plan.seed, plan.period, plan.pause, plan.tombstone, plan.member_rate, plan.seconds,
+                     plan.real, ALONE * plan.period, plan.start_within, CALM * plan.period, struck["crash"],
+                     STALLED * plan.pause, struck["cut"], struck["zone"])
     path = plan.folder / "model.json"
     path.write_bytes(msgspec.json.encode(spec))
     found = subprocess.run([sys.executable, "-m", "stepknot.lab.scale_model", str(path)], stdout=subprocess.PIPE,
--- a/tests/lab/test_scale_run.py
+++ b/tests/lab/test_scale_run.py
@@ -47,7 +47,9 @@
     assert steps == ["start", "crash", "stall", "cut", "lose_zone", "zone_back", "restart", "restart", "restart"]
     assert result.times.crash is not None and result.times.crash > 1.0  # nobody is dead before the pause is over
     assert result.times.zone_lost is not None and result.times.zone_lost > 2.0  # many at once: twice that
-    assert min(result.broker.sent, result.member.sent, result.model.cost.sent, result.member.cpu) > 0
+    assert result.stood_still >= 1
+    costs = [each for each in (result.broker, result.member, result.model.cost) if each is not None]
+    assert len(costs) == 3 and all(each.sent > 0 for each in costs) and costs[1].cpu > 0
     assert 'tenant "of-b1"' in (folder / "broker-1.hcl").read_text()
     assert not started_by(folder)
 
