--- a/stepknot/cli/main.py
+++ b/stepknot/cli/main.py
@@ -493,6 +493,8 @@
 @click.option("--rate", type=click.FloatRange(min=1.0), default=20.0, show_default=True, help="Queries a second.")
 @click.option("--period", type=Seconds(), default="500ms", show_default=True, help="Of membership's heartbeats.")
 @click.option("--pause", type=Seconds(), default="5s", show_default=True, help="For which a member may stand still.")
+@click.option("--voters", type=click.Choice(["0", "3", "5", "7"]), default="0", show_default=True,
+              help="Of ownership, three of them real brokers; without any there is no ownership.")
 @click.option("--start-within", type=Seconds(), default="1s", show_default=True, help="For all members to start.")
 @click.option("--send-rate", type=click.IntRange(min=500), help="Bytes a second that a member may send.  "
               "[default: membership's own, scaled to the period]")
@@ -502,7 +504,7 @@
 @click.option("--config-extra", type=CONFIG, help="HCL for the end of each real broker's settings; {name} is its name.")
 @click.option("--model/--no-model", default=True, show_default=True, help="Run the model beside it.")
 def scale(real: int, members: int, nodes: int, shards: int, seconds: float, seed: int, rate: float, period: float,
-          pause: float, start_within: float, send_rate: int | None, out: Path, json_file: Path | None,
+          pause: float, voters: str, start_within: float, send_rate: int | None, out: Path, json_file: Path | None,
           config_extra: Path | None, model: bool) -> None:
     """Play troubles on real brokers among simulated members and nodes, and measure what control costs there.
 
@@ -521,7 +523,7 @@
     from stepknot.lab.scale_run import run_scale
 
     plan = ScalePlan(out, real, members, nodes, shards, seconds, seed, rate, period=period, pause=pause,
-                     start_within=start_within, send_rate=send_rate or 0,
+                     start_within=start_within, voters=int(voters), send_rate=send_rate or 0,
                      extra=config_extra.read_text() if config_extra is not None else "")
     problem = refusal(plan, Machine.here())
     if problem:
--- a/stepknot/lab/scale_fleet.py
+++ b/stepknot/lab/scale_fleet.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+import shutil
 import signal
 import subprocess
 import time
@@ -18,10 +19,11 @@
 
 import msgspec
 
+from stepknot.broker.voterstore import VoterStore
 from stepknot.lab.fleet import Box, Broker, Fleet, block_text, free_ports, read_ready, settings_text
 from stepknot.lab.scale_members import MembersSpec
 from stepknot.lab.scale_nodes import NodeSpec, NodesSpec
-from stepknot.lab.scale_plan import CELLS, ZONES, ScalePlan, chance, zone_of
+from stepknot.lab.scale_plan import CELLS, DEFAULT, ZONES, ScalePlan, chance, zone_of
 
 WORK = 0.002  # seconds of a node's core for a part
 DEADLINE = 3.0  # seconds: the classes' own, and the longest that a client of the run waits
@@ -75,6 +77,8 @@
         boxes = [Box(number, port, 0, number % CELLS, zone_of(number // CELLS), host=host)
                  for number, port in enumerate(free_ports(plan.nodes, host))]
         found = cls(plan.folder, brokers, boxes, plan.documents, CELLS, WORK * 1000, taps=True, scale=plan, host=host)
+        for broker in brokers:
+            broker.owners = owner_keys(plan, broker.name)
         seeds = chance(plan, "members")
         for zone in ZONES:
             found.node_hosts += [NodesHost(f"nodes-{zone}{place}", zone, [boxes[each] for each in numbers])
@@ -98,7 +102,7 @@
         plan = self.scale
         return MembersSpec(self.host, host.names, [("127.0.0.1", each.peer) for each in self.brokers[:3]], plan.size,
                            plan.period, plan.pause, plan.tombstone, plan.member_rate,
-                           plan.start_within, host.seed)
+                           plan.start_within, plan.voter_names, host.seed)
 
     def nodes_spec(self, host: NodesHost, cold: bool) -> NodesSpec:
         nodes = [NodeSpec(box.number, box.port, box.cell, box.zone) for box in host.boxes]
@@ -134,6 +138,11 @@
         self.folder.mkdir(parents=True, exist_ok=True)
         self.write_settings()
         self.write_list()
+        for broker in self.brokers:
+            if "state" in broker.owners:
+                folder = self.folder / broker.owners["state"]
+                shutil.rmtree(folder, ignore_errors=True)  # of an earlier run, of which nobody is left
+                VoterStore(folder, DEFAULT.fleet, broker.name).found()
         words(f"starting {len(self.boxes)} nodes in {len(self.node_hosts)} processes, {len(self.member_hosts)} "
               f"processes for simulated members, {len(self.brokers)} brokers")
         for nodes in self.node_hosts:
@@ -167,6 +176,13 @@
             end(process, max(until - time.monotonic(), 0.1))
 
 
+def owner_keys(plan: ScalePlan, name: str) -> dict[str, Any]:
+    """Of a real broker's `ownership` block; none where there are no voters."""
+    if not plan.voters:
+        return {}
+    return {"voters": plan.voter_names} | ({"state": f"voter-{name}"} if name in plan.voter_names else {})
+
+
 def end(process: Started, within: float) -> None:
     try:
         process.wait(within)
--- a/stepknot/lab/scale_members.py
+++ b/stepknot/lab/scale_members.py
@@ -1,8 +1,9 @@
 """Many simulated members in one process and on one loop: `python -m stepknot.lab.scale_members SPEC.json`.
 
-Each is the membership that ships (`broker.peering.Peering`) with a socket of its own on loopback; it stands for a
-broker's control and for nothing else. Simulated are the way its process ends (the socket closes without a word) and a
-cut of the network: members inside it drop all that they send to, or receive from, whoever is not.
+Each is the membership that ships (`broker.peering.Peering`) with a socket of its own on loopback, and ownership where
+there are voters (`scale_owners`); it stands for a broker's control and for nothing else. Simulated are the way its
+process ends (the socket closes without a word) and a cut of the network: members inside it drop all that they send to,
+or receive from, whoever is not.
 
 Control is HTTP on loopback; the first line on standard output tells its port. Ends on SIGTERM, or when its parent does.
 """
@@ -23,9 +24,11 @@
 
 from stepknot.broker.peering import Peering
 from stepknot.config.peers import Peers
+from stepknot.lab.scale_owners import SimulatedOwner
 from stepknot.net.http import HttpError, HttpLimits, Request, Response
 from stepknot.net.loop import Datagrams, Loop, Park
 from stepknot.net.server import Connection, Server
+from stepknot.ownership.model import OwnerSettings
 from stepknot.peers.model import PeerSettings, State
 
 Address = tuple[str, int]
@@ -42,6 +45,7 @@
     tombstone: float
     rate: int  # bytes a second
     start_within: float  # seconds over which they start
+    voters: list[str]  # of ownership; none: no member takes part in it
     seed: int
 
     def settings(self) -> PeerSettings:
@@ -60,6 +64,8 @@
     kept_back: int
     cpu: float  # seconds, of this process
     resident: int  # bytes, of this process
+    owner_sent: int  # bytes of ownership, of those that run
+    owns: list[str]  # who holds the job now
     deaths: dict[str, int]  # at how many members each was ever held dead here
 
 
@@ -114,6 +120,7 @@
     def __init__(self, spec: MembersSpec) -> None:
         self.spec, self.loop = spec, CutLoop(spec.seed)
         self.members: dict[str, Peering] = {}
+        self.owners: dict[str, SimulatedOwner] = {}
         self.deaths: Counter[str] = Counter()
         self.control = Server(self.loop, "127.0.0.1", 0, self.on_control, HttpLimits(idle=600.0, first_byte=600.0),
                               http_error)
@@ -152,13 +159,18 @@
         self.members[name] = Peering(
             self.loop, Peers(name, (self.spec.host, 0), None, self.spec.settings()), self.loop.rng.getrandbits(62),
             lambda count: None, self.log)
+        if self.spec.voters:
+            self.owners[name] = SimulatedOwner(self.loop, self.members[name], OwnerSettings(tuple(self.spec.voters)),
+                                               self.loop.rng.getrandbits(62))
 
     def log(self, event: str, **fields: Any) -> None:
         if event == "peer_changed" and fields["new"] == "dead":
             self.deaths[fields["peer"]] += 1
 
     def crash(self, name: str) -> None:
-        member = self.members.pop(name)
+        member, owner = self.members.pop(name), self.owners.pop(name, None)
+        if owner is not None:
+            owner.end()
         member.timer.cancel()
         member.socket.close()
 
@@ -169,7 +181,8 @@
             len(self.members), len(outside), sum(holds(each, size) for each in outside),
             {name: own_address(each) for name, each in self.members.items()},
             sum(each["bytes"] for each in counters), sum(each["kept back"] for each in counters),
-            time.process_time(), resident(os.getpid()), dict(self.deaths))
+            time.process_time(), resident(os.getpid()), sum(each.sent for each in self.owners.values()),
+            [name for name, each in self.owners.items() if each.owns()], dict(self.deaths))
 
 
 def own_address(member: Peering) -> Address:
--- /dev/null
+++ b/stepknot/lab/scale_owners.py
@@ -0,0 +1,73 @@
+"""Ownership on a simulated member: the classes that ship, by datagrams of the member's own socket.
+
+Simulated are a voter's disk, which is memory, and the jobs, which do nothing: a simulated owner holds a job's lease and
+its ledger, and takes no order. A voter that crashed stays away, as its memory is lost with it.
+"""
+
+from __future__ import annotations
+
+from stepknot.broker.peering import Peering
+from stepknot.net.loop import Loop
+from stepknot.ownership import drains
+from stepknot.ownership.model import MARK, Held, OwnerSettings, Saved
+from stepknot.ownership.node import Ownership, Work
+from stepknot.ownership.voter import Voter
+from stepknot.peers.model import State
+
+TICK = 0.05  # of a lease, as real brokers have it
+FIRST_LIFE = 1
+
+
+def refuse(value: bytes, number: str, body: bytes) -> bytes:
+    raise ValueError("a simulated member takes no orders")
+
+
+def idle(now: float, value: bytes) -> bytes | None:
+    return None
+
+
+def apply(held: Held) -> None:
+    """There is nothing to apply it to."""
+
+
+class SimulatedOwner:
+    def __init__(self, loop: Loop, member: Peering, settings: OwnerSettings, seed: int) -> None:
+        self.loop, self.member = loop, member
+        name = member.members.own.name
+        voter = Voter(name, settings, Saved(settings.fleet, name, FIRST_LIFE, {}, [])) if (
+            name in settings.voters) else None
+        self.node = Ownership((name, seed & (2**62 - 1)), settings, voter, {drains.JOB: Work(idle, refuse, apply)},
+                              seed, self.is_member)
+        self.sent = 0  # bytes to others
+        member.others[MARK] = self.on_datagram
+        self.every = TICK * settings.lease
+        self.timer = loop.call_later(0.0, self.tick)
+
+    def is_member(self, name: str) -> bool:
+        record = self.member.members.table.here.get(name)
+        return record is not None and record.state is not State.SUSPECT
+
+    def tick(self) -> None:
+        here = self.member.members.table.here
+        self.node.tick(self.loop.clock(), [name for name, each in here.items() if each.state is State.ALIVE])
+        self.carry()
+        self.timer = self.loop.call_later(self.every, self.tick)
+
+    def on_datagram(self, data: bytes) -> None:
+        self.node.receive(self.loop.clock(), data)
+        self.carry()
+
+    def carry(self) -> None:
+        """What waits for the disk need not: memory has it."""
+        out, _, _ = self.node.take()
+        for to, data, _ in out:
+            if to == self.node.me[0]:
+                self.loop.call_later(0.0, lambda data=data: self.on_datagram(data))  # type: ignore[misc]
+            elif self.member.send_to(to, data):
+                self.sent += len(data)
+
+    def owns(self) -> bool:
+        return self.node.jobs[drains.JOB].owner.acting(self.loop.clock())
+
+    def end(self) -> None:
+        self.timer.cancel()
--- a/stepknot/lab/scale_plan.py
+++ b/stepknot/lab/scale_plan.py
@@ -15,6 +15,7 @@
 Item = TypeVar("Item")
 DEFAULT = PeerSettings()
 ZONES = "abc"
+REAL_VOTERS = 3
 CELLS = 4
 MEMBERS_A_PROCESS = 60  # simulated members on one loop: about a quarter of a core's time when nothing is wrong
 NODES_A_PROCESS = 20
@@ -50,8 +51,17 @@
     tombstone: float = 600.0
     start_within: float = 1.0  # over which the simulated members start
     send_rate: int = 0  # bytes a second that a member may send; 0: the default, scaled to the period
+    voters: int = 0  # of ownership: 3, 5 or 7, of them 3 real brokers; 0: there is no ownership
     extra: str = ""
 
+    @property
+    def voter_names(self) -> list[str]:
+        """Simulated ones only from zones that are not lost: a voter that lost its memory may not begin anew."""
+        if not self.voters:
+            return []
+        kept = [f"m{number}" for number in range(self.members) if zone_of(number) != ZONES[-1]]
+        return [f"b{number}" for number in range(REAL_VOTERS)] + kept[:self.voters - REAL_VOTERS]
+
     @property
     def member_rate(self) -> int:
         return self.send_rate or round(DEFAULT.rate * DEFAULT.period / self.period)
--- a/stepknot/lab/scale_report.py
+++ b/stepknot/lab/scale_report.py
@@ -5,10 +5,11 @@
 from stepknot.lab.scale_figures import Cost, Times
 from stepknot.lab.scale_run import Result
 
-STEPS = (("start", "all started, views right"), ("crash", "a crash known to all"),
+STEPS = (("start", "all started, views right"), ("owner", "the job has an owner"), ("crash", "a crash known to all"),
          ("stall", "after a broker's stall"), ("cut", "a cut: those outside agree"), ("heal", "the cut healed"),
          ("zone_lost", "a zone's loss known to all"), ("zone_back", "the zone back"),
-         ("restart", "a broker's restart, the longest"))
+         ("restart", "a broker's restart, the longest"),
+         ("owner_again", "the job has an owner again"))
 
 
 def table(result: Result) -> str:
--- a/stepknot/lab/scale_run.py
+++ b/stepknot/lab/scale_run.py
@@ -24,7 +24,18 @@
 from stepknot.lab.audit import Records, audit
 from stepknot.lab.day import ADMISSION, Day
 from stepknot.lab.fleet import Broker, read_ready, readable
-from stepknot.lab.scale_figures import BrokerState, Cost, Sample, Times, broker_cost, member_cost, read_broker, shares
+from stepknot.lab.scale_figures import (
+    OWNERS,
+    BrokerState,
+    Cost,
+    Sample,
+    Times,
+    broker_cost,
+    member_cost,
+    owner_rate,
+    read_broker,
+    shares,
+)
 from stepknot.lab.scale_fleet import DEADLINE, MembersProcess, NodesHost, ScaleFleet, Started, running
 from stepknot.lab.scale_members import Address, Crash, Cut, MembersState
 from stepknot.lab.scale_model import ModelFigures, ModelSpec
@@ -36,7 +47,7 @@
 LOOK = 0.1  # seconds between two looks at whether views are right: how fine the times are
 FETCH_WITHIN = 2.0  # seconds for a process to answer such a look
 READY_LOOK = 0.05  # seconds between two looks whether a process is up or over
-ALONE, CALM = 4, 10  # periods for which the brokers alone, and the whole fleet in quiet, are measured
+ALONE, CALM = 8, 20  # periods for which the brokers alone, and the whole fleet in quiet, are measured
 CRASHED, CUT_OFF = 1 / 20, 1 / 8  # of the simulated members: too few together for a loss that is waited out twice
 STALLED = 0.6  # of the pause that membership bears
 COLD_TIME = 3.0  # seconds for which a node that came back is cold
@@ -68,6 +79,8 @@
     times: Times
     false_deaths: int
     stood_still: int  # times that the stalled broker found that it had
+    voters: int
+    owner_sent: float  # bytes of ownership a second, of a simulated member
     send_rate: int  # bytes a second that a member may send
     start_within: float
     not_reached: list[str]
@@ -87,6 +100,7 @@
     broker: Cost | None = None
     member: Cost | None = None
     stood_still: int = 0
+    owner_sent: float = 0.0
     deaths: set[str] = field(default_factory=set)  # of members that were there
     struck: Counter[str] = field(default_factory=Counter)  # members, by the trouble that took them
 
@@ -125,8 +139,8 @@
 
     def happen(self) -> Coroutine:
         self.end = self.begun + self.plan.seconds
-        for step in (self.brokers_alone, self.start_members, self.calm, self.crash, self.stall, self.cut,
-                     self.lose_zone, self.roll):
+        for step in (self.brokers_alone, self.start_members, partial(self.wait_owner, "owner"), self.calm, self.crash,
+                     self.stall, self.cut, self.lose_zone, self.roll, partial(self.wait_owner, "owner_again")):
             if self.loop.clock() < self.end:
                 yield from step()
         self.until = self.loop.clock()
@@ -218,6 +232,17 @@
         yield from self.loop.sleep(self.plan.start_within)
         yield from self.settle("start", self.size)
 
+    def wait_owner(self, name: str) -> Coroutine:
+        """With voters: until the job has its owner."""
+        begun = self.loop.clock()
+        while self.plan.voters and self.loop.clock() < self.end:
+            sample = yield from self.sample(self.size)
+            if sample.owned():
+                self.measured.times[name] = sample.at - begun
+                self.words(f"{self.loop.clock() - self.begun:7.1f} s  {name:<10} {sample.at - begun:.2f} s")
+                return
+            yield from self.loop.sleep(LOOK)
+
     def calm(self) -> Coroutine:
         self.quiet = True
         while self.open:
@@ -227,6 +252,7 @@
         after = yield from self.whole_sample()
         self.measured.broker = broker_cost(before, after, self.alone, self.empty_brokers)
         self.measured.member = member_cost(before, after, self.empty_hosts)
+        self.measured.owner_sent = owner_rate(before, after)
         self.quiet = False
 
     def crash(self) -> Coroutine:
@@ -387,11 +413,13 @@
         run.run()
     rules = [msgspec.convert(each.body(), Rule) for each in audit(Records.load(plan.folder))]
     times = run.measured.times
-    steps = [name for name in Times.__struct_fields__ if times.get(name) is None]
+    steps = [name for name in Times.__struct_fields__ if times.get(name) is None
+             and (plan.voters or name not in OWNERS)]
     model = run_model(plan, run.measured.struck, words) if with_model else None
     return Result(plan.real, plan.members, plan.nodes, plan.shards, plan.seed, run.until - run.begun,
                   run.measured.broker, run.measured.member, model, Times(**times), len(run.measured.deaths),
-                  run.measured.stood_still, plan.member_rate, plan.start_within, steps, dict(run.counts), rules)
+                  run.measured.stood_still, plan.voters, run.measured.owner_sent, plan.member_rate, plan.start_within,
+                  steps, dict(run.counts), rules)
 
 
 def run_model(plan: ScalePlan, struck: Counter[str], words: Callable[[str], None]) -> ModelFigures:
--- a/tests/lab/test_scale_run.py
+++ b/tests/lab/test_scale_run.py
@@ -37,7 +37,7 @@
     extra.write_text('tenant "of-{name}" {\n  share = 0.1\n}\n')
     folder, file = tmp_path / "run", tmp_path / "run.json"
     done = subprocess.run([*COMMAND, "--seconds", "120", "--out", str(folder), "--json", str(file), "--config-extra",
-                           str(extra)], capture_output=True, text=True)
+                           str(extra), "--voters", "5"], capture_output=True, text=True)
     result = msgspec.json.decode(file.read_bytes(), type=Result)
     assert done.returncode == 0, done.stdout + done.stderr
     assert not result.not_reached and result.model is not None
@@ -47,6 +47,7 @@
     assert steps == ["start", "crash", "stall", "cut", "lose_zone", "zone_back", "restart", "restart", "restart"]
     assert result.times.crash is not None and result.times.crash > 1.0  # nobody is dead before the pause is over
     assert result.times.zone_lost is not None and result.times.zone_lost > 2.0  # many at once: twice that
+    assert result.owner_sent > 0 and result.times.owner is not None and result.times.owner_again is not None
     assert result.stood_still >= 1
     costs = [each for each in (result.broker, result.member, result.model.cost) if each is not None]
     assert len(costs) == 3 and all(each.sent > 0 for each in costs) and costs[1].cpu > 0
