--- a/stepknot/lab/scale_report.py
+++ b/stepknot/lab/scale_report.py
@@ -22,7 +22,8 @@
     if result.model is not None:
         rows.append((f"model, {result.real + result.members} members", result.model.cost))
     return [f"{'control in quiet, of one member':<32} {'% of a core':>12} {'memory, KB':>12} {'sent, B/s':>12}",
-            *(f"{name:<32} {cost_row(cost)}" for name, cost in rows)]
+            *(f"{name:<32} {cost_row(cost)}" for name, cost in rows),
+            f"{'a real broker without members':<32} {100 * result.alone:>12.3f}"]
 
 
 def cost_row(cost: Cost | None) -> str:
--- a/stepknot/lab/scale_run.py
+++ b/stepknot/lab/scale_run.py
@@ -64,26 +64,27 @@
     breaches: list[str]
 
 
-class Result(msgspec.Struct, frozen=True):
-    """All figures of a run. `not_reached`: the steps whose end the run's time did not see."""
+class Result(msgspec.Struct, frozen=True, kw_only=True):
+    """All figures of a run; costs are of one member in quiet, none where that was not reached."""
 
     real: int
     members: int
     nodes: int
     shards: int
+    voters: int
     seed: int
+    send_rate: int  # bytes a second that a member may send
+    start_within: float
     seconds: float
-    broker: Cost | None  # none: not reached
+    alone: float  # share of a core that a real broker had without other members; `broker` is beyond that
+    broker: Cost | None
     member: Cost | None
+    owner_sent: float  # bytes of ownership a second, of a simulated member
     model: ModelFigures | None
     times: Times
     false_deaths: int
     stood_still: int  # times that the stalled broker found that it had
-    voters: int
-    owner_sent: float  # bytes of ownership a second, of a simulated member
-    send_rate: int  # bytes a second that a member may send
-    start_within: float
-    not_reached: list[str]
+    not_reached: list[str]  # steps whose end the run's time did not see
     answers: dict[str, int]
     rules: list[Rule]
 
@@ -411,15 +412,20 @@
     run = ScaleRun(fleet, words)
     with running(fleet, words):
         run.run()
-    rules = [msgspec.convert(each.body(), Rule) for each in audit(Records.load(plan.folder))]
-    times = run.measured.times
-    steps = [name for name in Times.__struct_fields__ if times.get(name) is None
-             and (plan.voters or name not in OWNERS)]
-    model = run_model(plan, run.measured.struck, words) if with_model else None
-    return Result(plan.real, plan.members, plan.nodes, plan.shards, plan.seed, run.until - run.begun,
-                  run.measured.broker, run.measured.member, model, Times(**times), len(run.measured.deaths),
-                  run.measured.stood_still, plan.voters, run.measured.owner_sent, plan.member_rate, plan.start_within,
-                  steps, dict(run.counts), rules)
+    return result_of(run, run_model(plan, run.measured.struck, words) if with_model else None)
+
+
+def result_of(run: ScaleRun, model: ModelFigures | None) -> Result:
+    plan, found = run.plan, run.measured
+    return Result(
+        real=plan.real, members=plan.members, nodes=plan.nodes, shards=plan.shards, voters=plan.voters, seed=plan.seed,
+        send_rate=plan.member_rate, start_within=plan.start_within, seconds=run.until - run.begun,
+        alone=sum(run.alone) / plan.real, broker=found.broker, member=found.member, owner_sent=found.owner_sent,
+        model=model, times=Times(**found.times), false_deaths=len(found.deaths), stood_still=found.stood_still,
+        not_reached=[name for name in Times.__struct_fields__
+                     if found.times.get(name) is None and (plan.voters or name not in OWNERS)],
+        answers=dict(run.counts),
+        rules=[msgspec.convert(each.body(), Rule) for each in audit(Records.load(plan.folder))])
 
 
 def run_model(plan: ScalePlan, struck: Counter[str], words: Callable[[str], None]) -> ModelFigures:
