Sixteen planted defects of the subsets' decisions, each seen by its test

Cause: of the first sixteen three went unseen: the test of a cold cell gave the other cell a shard of its own, nothing held S9 where all of a cell is cold, and no case had the brokers that may send taking more than all of them. Change: the two tests that lacked (S9, the division among all), the first one with a third cell; rows in bench/mutants.py.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -30,6 +30,7 @@
 SUBSET_COST = "tests/lab/test_subset_cost.py"
 SUBSET_RULES = f"{SUBSET_COST}::test_every_query_gets_one_final_answer_and_no_part_goes_where_it_must_not"
 SUBSET, SUBSETS = "tests/subsets/test_subsetting.py", "tests/subsets/test_config.py"
+CHOSEN, CHOICE, SHARED = (f"tests/subsets/test_{name}.py" for name in ("subset", "choice", "cold"))
 SIGTERM = f"{PROCESS}::test_sigterm_serves_what_still_comes_finishes_what_is_in_work_and_exits_with_0"
 Row = tuple[str, str, str, str]
 ROWS: list[Row] = [
@@ -470,6 +471,42 @@
      f"{SUBSET_COST}::test_a_lost_zone_is_told_of_and_comes_back_cold_on_every_list"),
     ("lab/subset_cost.py", "self.world.at(warm_at, self.choose)", "pass",
      f"{SUBSET_COST}::test_a_lost_zone_is_told_of_and_comes_back_cold_on_every_list"),
+    ("subsets/choice.py", "chosen[-1] = other", "pass",
+     f"{CHOICE}::test_the_chosen_are_the_first_but_for_one_of_another_zone_and_one_of_the_nearest"),  # S2
+    ("subsets/choice.py", "if all(tier(entry.zone) > nearest for entry in chosen):", "if False:",
+     f"{CHOICE}::test_the_chosen_are_the_first_but_for_one_of_another_zone_and_one_of_the_nearest"),  # S3
+    ("subsets/choice.py", "math.floor(min(holders * live / instances, float(live)) + dither)",
+     "math.floor(min(holders * live / instances, float(live)))",
+     f"{CHOICE}::test_rounding_by_a_draw_keeps_the_mean_of_holders"),  # S6
+    ("subsets/subset.py", "if shape.reach > 1:", "if False:",
+     f"{CHOSEN}::test_a_shard_whose_one_cell_is_all_cold_is_served_from_its_other"),  # S1
+    ("subsets/subset.py", "self.mark(heapq.heappop(self.warming)[1], Cause.WARM, self.dirty)",
+     "self.dirty.setdefault(heapq.heappop(self.warming)[1], Cause.WARM)",
+     f"{CHOSEN}::test_a_cell_beside_gives_more_once_the_last_warm_node_drains_and_less_once_others_are_warm"),  # S4
+    ("subsets/subset.py", "if unread.whole or self.pending is None:", "if self.pending is None:",
+     f"{CHOSEN}::test_the_subset_is_a_function_of_the_list_whatever_the_way_to_it"),  # S4
+    ("subsets/subset.py", "or self.told and urgent and not self.urgent", "",
+     f"{CHOSEN}::test_what_drains_is_told_with_its_replacement_before_a_long_list_is_taken_in"),  # S7
+    ("subsets/subset.py", "self.take_words([*cell.entries, *cell.held.values()])",
+     "self.take_words(cell.held.values())",
+     f"{CHOSEN}::test_a_node_that_drains_by_a_list_in_work_does_not_stand_in_for_another"),  # S7
+    ("subsets/subset.py", "(word.state, word.up_since) != (entry.state, entry.up_since)", "word.state != entry.state",
+     f"{CHOSEN}::test_a_held_node_that_is_another_process_is_no_longer_taken_for_warm"),  # S7
+    ("subsets/subset.py", "for entry in left if not self.index.held(entry.server)]", "for entry in left]",
+     f"{CHOSEN}::test_a_node_that_moves_to_another_cell_is_not_told_to_be_gone_after_it_entered"),
+    ("subsets/subset.py", "self.heard, self.first = True, event.kind", "self.heard = True",
+     f"{CHOSEN}::test_the_first_list_is_told_also_where_nothing_of_it_is_used"),
+    ("subsets/subset.py", "READ_AT_ONCE = 1024", "READ_AT_ONCE = 1_000_000",
+     f"{CHOSEN}::test_no_unit_grows_with_the_list"),
+    ("subsets/subset.py", "len(warm) < quota and len(cold) < quota and share.may_send", "share.may_send",
+     f"{CHOSEN}::test_of_a_cell_that_is_all_cold_a_quota_is_used_and_of_some_cold_what_ranks_before_a_warm_one"),  # S9
+    ("subsets/cold.py", "max(mean + SPREAD * math.sqrt(mean * (1.0 - share)), 1.0)", "max(mean, 1.0)",
+     f"{SHARED}::test_alike_views_are_over_the_budget_once_in_a_thousand_and_never_over_what_is_spare"),  # S8
+    ("subsets/cold.py", "if divisor >= instances:", "if False:",
+     f"{SHARED}::test_where_a_part_of_the_brokers_would_take_more_than_all_of_them_all_may"),  # S8
+    ("subsets/cold.py", "share = min(1.0, ELIGIBLE * quota / max(live, 1))",
+     "share = min(1.0, ELIGIBLE * quota / max(live, 1)) / 2",
+     f"{CHOSEN}::test_what_is_used_of_any_fleet"),  # S8
 ]
 
 
--- a/tests/subsets/test_cold.py
+++ b/tests/subsets/test_cold.py
@@ -36,6 +36,13 @@
     assert cold_share(quota(brokers), 62, brokers).divisor == brokers
 
 
+def test_where_a_part_of_the_brokers_would_take_more_than_all_of_them_all_may() -> None:
+    """24 of 62: 23 of 30 brokers in the mean, and four deviations more would be 32."""
+    found = cold_share(12, 31, 30)
+    assert (found.share, found.divisor) == (1.0, 30.0)
+    assert cold_share(4, 62, 1000).share < 1
+
+
 @pytest.mark.parametrize("brokers", [600, 2000, 6600, 20_000])
 @pytest.mark.parametrize("more", [0, 1])  # a quota is rounded up by some
 @pytest.mark.parametrize("holders", [16.0, 64.0, 256.0])
--- a/tests/subsets/test_subset.py
+++ b/tests/subsets/test_subset.py
@@ -224,10 +224,23 @@
 
 def test_a_shard_whose_one_cell_is_all_cold_is_served_from_its_other() -> None:
     cold = [node(f"c{number}", 0, up_since=NOW - 1.0) for number in range(10)]
-    found = Follower(cells=3, reach=2).take(FULL, cold + [node(f"w{number}", 1) for number in range(10)]).finish()
-    assert sum(entry.cell == 1 for entry in found.view.values()) == 4
+    warm = [node(f"w{number}", 1 + number % 2) for number in range(20)]
+    found = Follower(cells=3, reach=2).take(FULL, cold + warm).finish()
+    assert Counter(entry.cell for entry in found.view.values() if not entry.up_since) == {1: 4, 2: 4}
     found.at(NOW + COLD_TIME)
-    assert Counter(entry.cell for entry in found.view.values()) == {0: 4, 1: 4}  # shards 2 and 1 have one cell each
+    assert Counter(entry.cell for entry in found.view.values()) == {0: 2, 1: 2, 2: 2}
+
+
+def test_of_a_cell_that_is_all_cold_a_quota_is_used_and_of_some_cold_what_ranks_before_a_warm_one() -> None:
+    """S9. Of 30, eight may be sent to in the mean."""
+    cold = [node(f"c{number}", up_since=NOW - 1.0) for number in range(30)]
+    for broker in range(30):
+        found = Follower(identity=f"b{broker}").take(FULL, cold).finish()
+        assert len(found.view) <= 4
+        mixed = Follower(identity=f"b{broker}").take(FULL, cold + CELL).finish()
+        last = max(preferred(mixed).index(server) for server in mixed.view if server.startswith("n"))
+        assert sum(server.startswith("n") for server in mixed.view) == 4
+        assert all(preferred(mixed).index(server) <= last for server in mixed.view)
 
 
 def test_a_cell_beside_gives_more_once_the_last_warm_node_drains_and_less_once_others_are_warm() -> None:
