--- a/bench/scale_members.py
+++ b/bench/scale_members.py
@@ -1,6 +1,6 @@
 """Membership against the number of members: the decisions as they ship, on the model's virtual clock and links.
 
-CPU is the real time of one member's ticks and datagrams in a virtual second; what the model itself takes is left out.
+CPU is that of one member's ticks and datagrams in a virtual second; what the model itself takes is left out.
 Two runs for each size: one where all start within a second, until views are right; and one that begins with views that
 are right, is quiet, loses one member, and then a zone (one member in 13), which returns. What takes longer than its cap
 is told and is in no series. Rate and records are limited as shipped.
@@ -41,14 +41,14 @@
     spent = 0.0  # seconds
 
     def tick(self, now: float) -> None:
-        begun = time.perf_counter()
+        begun = time.thread_time()
         super().tick(now)
-        self.spent += time.perf_counter() - begun
+        self.spent += time.thread_time() - begun
 
     def receive(self, now: float, data: bytes) -> None:
-        begun = time.perf_counter()
+        begun = time.thread_time()
         super().receive(now, data)
-        self.spent += time.perf_counter() - begun
+        self.spent += time.thread_time() - begun
 
 
 def members(model: Model) -> list[Timed]:
--- a/bench/scale_owners.py
+++ b/bench/scale_owners.py
@@ -1,7 +1,7 @@
 """Ownership against members, jobs and voters: the decisions as they ship, in their model, when nothing is wrong.
 
 Counted once every job has an owner. The model's own check of who acts at each moment is left out here: it looks at all
-members for each tick; `tests/ownership` and the search make it. CPU is the real time of ticks and datagrams.
+members for each tick; `tests/ownership` and the search make it. CPU is that of ticks and datagrams.
 """
 
 from __future__ import annotations
@@ -41,9 +41,9 @@
 
     def timed(self, what: Callable[..., None]) -> Callable[..., None]:
         def call(*given: Any) -> None:
-            begun = time.perf_counter()
+            begun = time.thread_time()
             what(*given)
-            self.spent += time.perf_counter() - begun
+            self.spent += time.thread_time() - begun
 
         return call
 
