Scale run: members within membership's bound on records; a second signal leaves no process behind

Membership keeps 1,024 records: more members than that never settle. A SIGTERM that comes while processes are being ended is held until they are.

--- a/stepknot/cli/main.py
+++ b/stepknot/cli/main.py
@@ -484,7 +484,7 @@
 
 @cli.command()
 @click.option("--real", type=click.IntRange(3, 9), default=3, show_default=True, help="Brokers that are processes.")
-@click.option("--members", type=click.IntRange(12, 2000), default=100, show_default=True, help="Simulated members.")
+@click.option("--members", type=click.IntRange(12, 1000), default=100, show_default=True, help="Simulated members.")
 @click.option("--nodes", type=click.IntRange(12, 400), default=24, show_default=True)
 @click.option("--shards", type=click.IntRange(4, 1024), default=12, show_default=True)
 @click.option("--seconds", type=click.FloatRange(min=5.0), default=180.0, show_default=True,
--- a/stepknot/lab/scale_fleet.py
+++ b/stepknot/lab/scale_fleet.py
@@ -204,5 +204,5 @@
             try:
                 fleet.stop()
                 break
-            except KeyboardInterrupt:  # told again: the processes are ended first all the same
+            except (KeyboardInterrupt, SystemExit):  # told again: the processes are ended first all the same
                 continue
