How near a cold node comes to its fall, in the subset model

Need: that none fell says nothing of how near it was. Change: the most that one got within the fall time, as a share of what makes it fall. Seen: the model's tests passed.

--- a/stepknot/lab/subset_cost.py
+++ b/stepknot/lab/subset_cost.py
@@ -169,6 +169,7 @@
     attempts: int = 0
     probes: int = 0
     falls: int = 0
+    cold_peak: float = 0.0  # the most that a cold node got, as a share of what makes it fall
     late_sends: int = 0  # to a node that was told to be draining or gone for longer than the grace
 
 
@@ -236,7 +237,9 @@
         while self.got[0][0] <= now - RULES.fall_time:
             self.got.popleft()
         budget = RULES.fall_multiple * able * self.world.fleet.cores * RULES.fall_time
-        if sum(each for _, each in self.got) > budget:
+        used = sum(each for _, each in self.got) / budget
+        self.world.counts.cold_peak = max(self.world.counts.cold_peak, used)
+        if used > 1.0:
             self.world.counts.falls += 1
             self.world.lose([self])
 
