bench/scale.py tells the machine's load at the run's beginning in its JSON

Figures of a run beside other work spread by up to 1.7 times; a reader of the file could not tell such a run.

--- a/bench/scale.py
+++ b/bench/scale.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import os
 import platform
 import time
 from collections.abc import Callable, Iterator
@@ -83,12 +84,14 @@
     return {"case": figure.case, "name": figure.name, "unit": figure.unit, **asdict(figure.spread)}
 
 
-def report_json(effort: Effort, findings: list[Finding], took: dict[str, float]) -> bytes:
+def report_json(effort: Effort, findings: list[Finding], took: dict[str, float], load: float) -> bytes:
+    """`load`: the machine's load average when the run began: about 0 where it did nothing else."""
     return orjson.dumps({
         "asked": {"brokers": BROKERS, "nodes": NODES, "shards": SHARDS, "replicas": REPLICAS,
                   "queries_per_second": QUERIES},
         "run": {"repeats": effort.repeats, "quick": effort.quick, "python": platform.python_version(),
-                "machine": platform.machine(), "seconds": {name: round(each, 1) for name, each in took.items()}},
+                "machine": platform.machine(), "load_before": load,
+                "seconds": {name: round(each, 1) for name, each in took.items()}},
         "notes": [each.text for each in findings if isinstance(each, Note)],
         "series": [series_json(each) for each in findings if isinstance(each, Series)],
         "figures": [figure_json(each) for each in findings if isinstance(each, Figure)],
@@ -138,6 +141,7 @@
 @click.option("--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="Write all of it there.")
 @click.option("--plot", type=click.Path(dir_okay=False, path_type=Path), help="Draw it into this PNG file.")
 def main(groups: tuple[str, ...], repeats: int, quick: bool, json_file: Path | None, plot: Path | None) -> None:
+    load = round(os.getloadavg()[0], 2)
     effort, findings, took = Effort(repeats, quick), list[Finding](), dict[str, float]()
     for name in GROUPS if "all" in groups else dict.fromkeys(groups):
         begun = time.monotonic()
@@ -147,7 +151,7 @@
         took[name] = time.monotonic() - begun
         click.echo(f"{name}: {took[name]:.0f} s")
     if json_file is not None:
-        json_file.write_bytes(report_json(effort, findings, took))
+        json_file.write_bytes(report_json(effort, findings, took, load))
     if plot is not None:
         draw(findings, plot)
 
