The subset bench writes its runs after each scenario

Cause: a run ended by its time limit left no figures. Change: the file is written after each scenario; a line over 120 characters is wrapped.

--- a/bench/subset_cost.py
+++ b/bench/subset_cost.py
@@ -3,8 +3,8 @@
 Simulated (`stepknot/lab/subset_cost.py`), paired by seed: every variant gets the same queries at the same times with
 the same work. Rows are means over seeds; differences are a variant less the whole list, with Student's t-interval of
 95% over seeds, each of its own: of many intervals one in twenty is wrong. Shares and worth in percent, latencies in ms
-of all answers; `node` and `zone`: utilisation of the busiest against the mean; `cold`: the most that a cold node got within the
-fall time, as a share of what makes it fall; `us`: the module's time a part, by the wall's clock.
+of all answers; `node` and `zone`: utilisation of the busiest against the mean; `cold`: the most that a cold node got
+within the fall time, as a share of what makes it fall; `us`: the module's time a part, by the wall's clock.
 """
 
 from __future__ import annotations
@@ -123,8 +123,8 @@
             show(scenario, found)
             rows += [{"scenario": scenario, "list": name, "seed": seed, **dataclasses.asdict(one)}
                      for name, runs in found.items() for seed, one in enumerate(runs, 1)]
-    if file is not None:
-        file.write_text(json.dumps({"fleet": dataclasses.asdict(fleet), "runs": rows}, indent=1))
+            if file is not None:  # after each scenario: a run that is ended early leaves what it has
+                file.write_text(json.dumps({"fleet": dataclasses.asdict(fleet), "runs": rows}, indent=1))
 
 
 if __name__ == "__main__":
