--- a/bench/subset_cost.py
+++ b/bench/subset_cost.py
@@ -123,8 +123,8 @@
             show(scenario, found)
             rows += [{"scenario": scenario, "list": name, "seed": seed, **dataclasses.asdict(one)}
                      for name, runs in found.items() for seed, one in enumerate(runs, 1)]
-    if file is not None:
-        file.write_text(json.dumps({"fleet": dataclasses.asdict(fleet), "runs": rows}, indent=1))
+            if file is not None:  # after each scenario: a run that is ended early leaves what it has
+                file.write_text(json.dumps({"fleet": dataclasses.asdict(fleet), "runs": rows}, indent=1))
 
 
 if __name__ == "__main__":
