--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -134,7 +134,8 @@
         "decide, probing: first query placed, probes and all")
     asked = line("connections: opened, with a probe answered, CPU")
     io = carried(scale)
-    module_memory, index_memory = line("decide, 2 replicas, 6 parts: memory with the entries"), line("subset: memory beside the list")
+    module_memory = line("decide, 2 replicas, 6 parts: memory with the entries")
+    index_memory = line("subset: memory beside the list")
     connection = line("connections: memory with the nodes' own")
     sweep = line("connections: idle, a sweep each 3.0 s")
     record, quiet = line("members: memory of one member's table"), line("members: quiet, median member")
@@ -166,10 +167,10 @@
         Row("query path", "the same with subsets of 4, each asked", lambda s: query(s, held, held), "ms", AIM,
             "`subsets`; at 580 parts a tree or several cores: none yet", source_of(
                 ("decide, 58 shards, 6 parts: a part, all", held))),
-        Row("query path", "memory of module and entries, whole list", lambda s: at(module_memory, s.nodes), "bytes", MEMORY,
-            "`logic.py`", source_of(("decide, 2 replicas, 6 parts: memory with the entries", FULL.nodes))),
-        Row("query path", "memory of module and subset, with the entries in use", lambda s: at(module_memory, held * s.shards) + at(
-            index_memory, s.nodes), "bytes", 8e6, "`subsets`", source_of(
+        Row("query path", "memory of module and entries, whole list", lambda s: at(module_memory, s.nodes), "bytes",
+            MEMORY, "`logic.py`", source_of(("decide, 2 replicas, 6 parts: memory with the entries", FULL.nodes))),
+        Row("query path", "memory of module and subset, with the entries in use", lambda s: at(
+            module_memory, held * s.shards) + at(index_memory, s.nodes), "bytes", 8e6, "`subsets`", source_of(
             ("subset: memory beside the list", FULL.nodes),
             ("decide, 2 replicas, 6 parts: memory with the entries", held * FULL.shards))),
         Row("query path", "connections to nodes, whole list: descriptors", lambda s: s.nodes, "", DESCRIPTORS,
