The stand-in of discovery says a change only behind the list that its watch begins with

Cause: a request was noted before it was answered, and a test that waits for the note and then has a change said could write it before the answer's head. The broker dropped that watch, and the next one got the list without the change: `test_idle_clients_fill_the_descriptors_while_discovery_is_down_and_all_get_theirs_after` failed so in one run.

Both are said under one lock now.

--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -124,6 +124,7 @@
         self.asked: list[str] = []  # the targets of requests
         self.asked_at: list[float] = []
         self.stopped = threading.Event()
+        self.saying = threading.Lock()  # a change is said after the list that its watch begins with
         self.watches: list[socket.socket] = []
         super().__init__(port)
 
@@ -134,7 +135,17 @@
             if not chunk:
                 return
             data += chunk
-        self.asked.append(data.split(b" ")[1].decode())
+        with self.saying:
+            self.begin(sock, data.split(b" ")[1].decode())
+        if self.mood in ("serve", "half", "beats", "empty"):
+            try:
+                while self.mood != "serve" and not self.stopped.wait(0.1):
+                    sock.sendall(b"1\r\n%s\r\n" % (b" " if self.mood == "half" else b"\n"))
+            except OSError:
+                pass  # the broker ended it
+
+    def begin(self, sock: socket.socket, target: str) -> None:
+        self.asked.append(target)
         self.asked_at.append(time.monotonic())
         self.watches.append(sock)
         if self.mood == "lost":
@@ -146,11 +157,6 @@
             sock.sendall(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
             if self.mood not in ("half", "empty"):
                 self.say(sock, self.rows, True)
-            try:
-                while self.mood != "serve" and not self.stopped.wait(0.1):
-                    sock.sendall(b"1\r\n%s\r\n" % (b" " if self.mood == "half" else b"\n"))
-            except OSError:
-                pass  # the broker ended it
 
     def say(self, sock: socket.socket, rows: list[dict[str, Any]], full: bool = False) -> None:
         self.say_line(sock, orjson.dumps({"version": self.version, "full": full, "servers": rows}) + b"\n")
@@ -159,8 +165,9 @@
         sock.sendall(b"%x\r\n%s\r\n" % (len(line), line))
 
     def change(self, row: dict[str, Any]) -> None:
-        self.version += 1
-        self.say(self.watches[-1], [row])
+        with self.saying:
+            self.version += 1
+            self.say(self.watches[-1], [row])
 
     def close(self) -> None:
         self.stopped.set()
