No node takes another's place that the same list says gone or draining

Cause: nodes in use that end by a list are replaced before the rest of that list is taken in, and the best replacements of a lost zone are of the same zone: they entered, and left once their own entries were reached (S7). Change: a list that is not wholly taken in keeps each name's state, and a node whose last word there is not live is not chosen.

--- a/stepknot/subsets/subset.py
+++ b/stepknot/subsets/subset.py
@@ -24,10 +24,12 @@
 
 @dataclass(slots=True)
 class Pending:
-    """A list that is not wholly taken in. `later` are nodes of which a later list's word was taken already."""
+    """A list that is not wholly taken in. `live`: whether each node that it names is so; `later` are nodes of which a
+    later list's word was taken already."""
 
     whole: bool
     entries: deque[ServerEntry]
+    live: dict[str, bool]
     named: set[str] = field(default_factory=set)
     later: set[str] = field(default_factory=set)
     sweep: deque[int] | None = None  # cells still to be searched for what a whole list does not name
@@ -66,7 +68,8 @@
             for each in self.pending:
                 each.later.add(entry.server)
             self.put(entry, Cause.LIST, self.urgent)
-        self.pending.append(Pending(whole, deque(event.entries)))
+        live = {entry.server: entry.state is ServerState.LIVE for entry in event.entries}
+        self.pending.append(Pending(whole, deque(event.entries), live))
 
     def ended(self, entries: Iterable[ServerEntry], whole: bool) -> list[ServerEntry]:
         """The held nodes that are not live any more by this list."""
@@ -181,6 +184,16 @@
     def cold(self, entry: ServerEntry, now: float) -> bool:
         return entry.up_since > 0 and now < entry.up_since + self.shape.cold_time
 
+    def ends(self, server: str) -> bool:
+        """Whether a list that is not wholly taken in says that the node is not live any more: the last word counts."""
+        for each in reversed(self.pending):
+            live = each.live.get(server)
+            if live is not None:
+                return not live
+            if each.whole:
+                return True
+        return False
+
     def choose(self, number: int, now: float) -> list[ServerEntry]:
         """The live nodes wanted of a cell; cold ones with what their budget is divided by (S1 to S3, S8, S9)."""
         cell, quota = self.index.cells[number], self.index.cells[number].quota
@@ -188,7 +201,7 @@
         cold: list[ServerEntry] = []
         share = cold_share(quota, cell.live, self.instances)
         for entry in cell.entries:
-            if entry.state is not ServerState.LIVE:
+            if entry.state is not ServerState.LIVE or self.ends(entry.server):
                 continue
             if not self.cold(entry, now):
                 warm.append(entry)
--- a/tests/subsets/test_subsetting.py
+++ b/tests/subsets/test_subsetting.py
@@ -174,6 +174,23 @@
     world.settle()
 
 
+@pytest.mark.parametrize("kind", [ListKind.CHANGES, ListKind.FULL])
+def test_no_node_takes_anothers_place_that_the_same_list_says_gone_or_draining(world: World, kind: ListKind) -> None:
+    """A zone is lost: the best replacements of its nodes are of the same zone."""
+    lost = {entry.server for entry in nodes() if entry.zone == "a"}
+    if kind is ListKind.FULL:
+        world.full(entry for entry in nodes() if entry.server not in lost)
+    else:
+        states = (ServerState.DRAINING, ServerState.GONE)
+        world.change(*(replace(entry, state=states[place % 2]) for place, entry in enumerate(nodes())
+                       if entry.server in lost))
+    world.settle()
+    entered = {entry.server for event in world.taken[1:] for entry in event.entries
+               if entry.state is ServerState.LIVE}
+    assert entered and not entered & lost
+    assert sum(entry.state is ServerState.LIVE for entry in world.core().values()) == 40 * 3
+
+
 def test_a_node_in_use_that_is_gone_is_replaced_before_it_goes(world: World) -> None:
     held = next(iter(world.core().values()))
     world.change(replace(held, state=ServerState.GONE))
