--- a/stepknot/lab/scale_model.py
+++ b/stepknot/lab/scale_model.py
@@ -46,7 +46,7 @@
 
 
 class ModelFigures(msgspec.Struct, frozen=True):
-    cost: Cost
+    cost: Cost | None  # none: there was no quiet, as the start was not over in time
     times: Times
     deaths: int  # of members that ran all the time and were not cut off
     seconds: float  # on the model's clock
@@ -82,6 +82,8 @@
     model.run(model.now + spec.alone)
     start(model, [f"m{number}" for number in range(spec.size - spec.brokers)], spec)
     times["start"] = until(model, model.settled, end)
+    if times["start"] is None:
+        return ModelFigures(None, Times(), 0, model.now)
     sent, cpu, begun = sum(each.sent for each in model.up()), time.process_time(), model.now
     model.run(begun + spec.calm)
     cost = Cost((time.process_time() - cpu) / spec.calm / spec.size, (resident(os.getpid()) - empty) / spec.size,
