Parts, attempts and calls have the field's names on the boxes' side and in the core

Need: parcel, ride and piece were words of our own for what the rest of the tree and the field call attempt, call and part.

- `Parcel` is `OutgoingAttempt`: it is one attempt of a part on its way, and the core's `Attempt` extends it with what the sides need not know; `Attempt` alone is taken by that one and by records.py.
- `ride` is `call`, and the platform's `Ride` is `Call`: the one in which an attempt travels; RestBoxes had it so.
- `Piece` is `QueryPart`: a query's part with its request and its answer; `Part` alone is taken by records.py (the decisions' state of it) and frames.py (what is on the wire).

Behaviour, wires, settings, metrics and log fields are as before.

--- a/stepknot/boxes/rest.py
+++ b/stepknot/boxes/rest.py
@@ -8,7 +8,7 @@
 
 from stepknot.boxes.codec import Codec, PartReply
 from stepknot.boxes.pool import Exchange, Pool
-from stepknot.boxes.side import Load, OnReply, Parcel, nobody
+from stepknot.boxes.side import Load, OnReply, OutgoingAttempt, nobody
 from stepknot.interface import Outcome
 from stepknot.net.http import ClientParser, HttpError
 from stepknot.net.loop import Loop
@@ -16,9 +16,9 @@
 
 @dataclass(slots=True, eq=False)
 class Call:
-    """What travels together to one box; `live` are the parcels for whose reply somebody still waits."""
+    """What travels together to one box; `live` are the attempts for whose reply somebody still waits."""
 
-    parcels: list[Parcel]
+    attempts: list[OutgoingAttempt]
     live: int
     exchange: Exchange | None = None
 
@@ -30,15 +30,15 @@
         self.parts_per_call, self.on_event = parts_per_call, on_event
         self.on_reply: OnReply = nobody
 
-    def send(self, server: str, parcels: list[Parcel]) -> int:
-        shared = [each for each in parcels if self.codec.shares_call(each.request)]
-        alone = [each for each in parcels if not self.codec.shares_call(each.request)]
+    def send(self, server: str, attempts: list[OutgoingAttempt]) -> int:
+        shared = [each for each in attempts if self.codec.shares_call(each.request)]
+        alone = [each for each in attempts if not self.codec.shares_call(each.request)]
         size = self.parts_per_call
         groups = [shared[place:place + size] for place in range(0, len(shared), size)] + [[each] for each in alone]
         for group in groups:
             call = Call(group, len(group))
-            for parcel in group:
-                parcel.ride = call
+            for attempt in group:
+                attempt.call = call
             name = group[0].name
             call.exchange = Exchange(partial(self.encode, server, call), partial(self.on_end, call),
                                      not_after=min(each.not_after for each in group))
@@ -48,39 +48,39 @@
 
     def encode(self, server: str, call: Call) -> bytes:
         """A call goes without the parts that were given up while its connection came up."""
-        call.parcels = [each for each in call.parcels if each.ride is call]
-        return self.codec.encode([each.request for each in call.parcels], self.pool.box(server).name,
-                                 call.parcels[0].name)
+        call.attempts = [each for each in call.attempts if each.call is call]
+        return self.codec.encode([each.request for each in call.attempts], self.pool.box(server).name,
+                                 call.attempts[0].name)
 
     def on_end(self, call: Call, parser: ClientParser | None, outcome: Outcome, reason: str) -> None:
-        """A call ended: each parcel for which somebody still waits ends with its own outcome."""
+        """A call ended: each attempt for which somebody still waits ends with its own outcome."""
         load: Load = {}
-        parcels, call.parcels, call.exchange = call.parcels, [], None  # no ring is left behind
-        replies = [PartReply(outcome, reason=reason)] * len(parcels)
+        attempts, call.attempts, call.exchange = call.attempts, [], None  # no ring is left behind
+        replies = [PartReply(outcome, reason=reason)] * len(attempts)
         if parser is not None:
             load = self.codec.load(parser.headers)
             try:
                 body = parser.body()
             except HttpError as error:
-                replies = [PartReply(Outcome.ERROR, reason=error.reason)] * len(parcels)
+                replies = [PartReply(Outcome.ERROR, reason=error.reason)] * len(attempts)
             else:
-                requests = [each.request for each in parcels]
+                requests = [each.request for each in attempts]
                 replies = self.codec.decode(requests, parser.status, parser.headers, body)
-        for parcel, reply in zip(parcels, replies, strict=True):
-            if parcel.ride is call:
-                parcel.ride = None
-                self.on_reply(parcel, reply, load)
+        for attempt, reply in zip(attempts, replies, strict=True):
+            if attempt.call is call:
+                attempt.call = None
+                self.on_reply(attempt, reply, load)
 
-    def cancel(self, parcel: Parcel) -> None:
-        call, parcel.ride = parcel.ride, None
+    def cancel(self, attempt: OutgoingAttempt) -> None:
+        call, attempt.call = attempt.call, None
         if call is not None:
             call.live -= 1
             if not call.live and call.exchange is not None and not call.exchange.ended:
                 call.exchange.abandon()  # nobody waits: the box sees it, and may drop the work
-                call.exchange, call.parcels = None, []
+                call.exchange, call.attempts = None, []
 
-    def unsent(self, parcel: Parcel) -> bool:
-        call = parcel.ride
+    def unsent(self, attempt: OutgoingAttempt) -> bool:
+        call = attempt.call
         return call is None or call.exchange is not None and call.exchange.link is None
 
     def withdraw(self, server: str) -> None:
--- a/stepknot/boxes/side.py
+++ b/stepknot/boxes/side.py
@@ -14,13 +14,13 @@
 
 
 @dataclass(slots=True, eq=False)
-class Parcel:
-    """One attempt on its way to a box and back."""
+class OutgoingAttempt:
+    """One attempt of a part on its way to a box and back, as the sides know it; the core's attempt adds the rest."""
 
     request: Any  # what is asked, in the side's own terms
     name: str  # of its query, in logs and at boxes
     wait: float  # seconds for which somebody waits
-    ride: Any = None  # what it travels in: the side's own
+    call: Any = None  # the one in which it travels, in the side's own terms; none: over
     not_after: float = math.inf  # by the loop's clock: not written whole by then, it is never written
 
 
@@ -28,17 +28,17 @@
 
 
 class Boxes(Protocol):
-    """Each parcel sent ends once: by a call of `on_reply`, or by `cancel`."""
+    """Each attempt sent ends once: by a call of `on_reply`, or by `cancel`."""
 
     on_reply: OnReply
 
-    def send(self, server: str, parcels: list[Any]) -> int:
+    def send(self, server: str, attempts: list[Any]) -> int:
         """What goes to one box in one turn; the number of calls in which it travels."""
 
-    def cancel(self, parcel: Any) -> None:
+    def cancel(self, attempt: Any) -> None:
         """Nobody waits for it any more."""
 
-    def unsent(self, parcel: Any) -> bool:
+    def unsent(self, attempt: Any) -> bool:
         """Whether no byte of it was handed to the kernel yet."""
 
     def withdraw(self, server: str) -> None:
@@ -51,5 +51,5 @@
         """Close the connections on which nothing is out."""
 
 
-def nobody(parcel: Any, reply: PartReply, load: Load) -> None:
+def nobody(attempt: Any, reply: PartReply, load: Load) -> None:
     """No core listens yet."""
--- a/stepknot/broker/core.py
+++ b/stepknot/broker/core.py
@@ -18,7 +18,7 @@
 
 from stepknot import interface as api
 from stepknot.boxes.codec import PartReply
-from stepknot.boxes.side import Boxes, Load, Parcel
+from stepknot.boxes.side import Boxes, Load, OutgoingAttempt
 from stepknot.logic import Aggregator
 from stepknot.net.loop import Loop, Signal
 from stepknot.zones.policy import Zones
@@ -40,7 +40,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class Piece:
+class QueryPart:
     """A part of a query: what it asks, how its answer is read, and what became of it."""
 
     shard: int  # among the fleet's
@@ -62,8 +62,8 @@
 
     class_name: str
     deadline: float  # by the loop's clock
-    first: list[Piece]
-    second: Callable[[list[Piece]], list[Piece]] | None = None
+    first: list[QueryPart]
+    second: Callable[[list[QueryPart]], list[QueryPart]] | None = None
     tenant: str = ""
     key: str = ""
     name: str = ""  # in logs and at boxes
@@ -71,7 +71,7 @@
     retry: bool = False  # its client says that it asks again
     query_id: int = 0
     step: int = 1
-    fetch: list[Piece] = field(default_factory=list)
+    fetch: list[QueryPart] = field(default_factory=list)
     first_whole: bool = False
     arrived: float = 0.0
     done: Signal = field(default_factory=Signal)
@@ -85,8 +85,8 @@
 
 
 @dataclass(slots=True, eq=False)
-class Attempt(Parcel):
-    piece: Piece = field(kw_only=True)
+class Attempt(OutgoingAttempt):
+    part: QueryPart = field(kw_only=True)
     ask: Ask = field(kw_only=True)
     number: int = field(kw_only=True)
     server: str = field(kw_only=True)
@@ -110,7 +110,7 @@
         self.decide: Callable[[float, list[api.Event]], list[api.Action]] = self.module.handle
         self.inbox: list[api.Event] = []
         self.held: dict[int, Ask] = {}
-        self.pieces: dict[int, tuple[Ask, Piece]] = {}
+        self.parts: dict[int, tuple[Ask, QueryPart]] = {}
         self.out: dict[tuple[int, int], Attempt] = {}
         self.servers: dict[str, api.ServerEntry] = {}
         self.last_id = 0
@@ -138,7 +138,7 @@
         """Take a query; `ask.done` is set with its `Result` at the latest when the client's time is nearly up."""
         self.last_id += 1
         ask.query_id, ask.arrived = self.last_id, self.loop.now
-        still = len(self.held) + len(self.pieces) + 1 + len(ask.first)
+        still = len(self.held) + len(self.parts) + 1 + len(ask.first)
         if len(self.held) >= self.most_held or still > self.most_open:  # memory comes before all else
             self.counts["over_bound"] += 1
             limits = self.settings.limits
@@ -159,7 +159,7 @@
         self.class_counts[ask.class_name, "taken"] += 1
         self.post(api.QueryArrived(ask.query_id, ask.query_id, ask.class_name, ask.deadline, ask.tenant, ask.key,
                                    ask.effort, ask.retry))
-        self.add_pieces(ask, ask.first)
+        self.add_parts(ask, ask.first)
 
     def over_share(self, tenant: str) -> bool:
         """Whether the tenant asks for more of the traffic than it was promised."""
@@ -173,13 +173,13 @@
         total = sum(rate.now(now) for rate in self.tenant_rates.values())
         return self.tenant_rates[tenant].now(now) > share * total * TENANT_ROOM
 
-    def add_pieces(self, ask: Ask, pieces: list[Piece]) -> None:
-        for piece in pieces:
+    def add_parts(self, ask: Ask, parts: list[QueryPart]) -> None:
+        for part in parts:
             self.last_id += 1
-            piece.part_id = self.last_id
-            self.pieces[piece.part_id] = (ask, piece)
-            self.post(api.PartArrived(piece.part_id, ask.query_id, piece.shard, piece.weight, piece.effort))
-        self.counts["parts"] += len(pieces)
+            part.part_id = self.last_id
+            self.parts[part.part_id] = (ask, part)
+            self.post(api.PartArrived(part.part_id, ask.query_id, part.shard, part.weight, part.effort))
+        self.counts["parts"] += len(parts)
 
     def gone(self, ask: Ask) -> None:
         """The client hung up: nothing is answered, what is out is called off."""
@@ -210,7 +210,7 @@
         """Shutting down: every query held gets its final answer now."""
         for ask in list(self.held.values()):
             self.post(api.QueryGone(ask.query_id))
-            ran = any(piece.attempts for piece in ask.first)
+            ran = any(part.attempts for part in ask.first)
             safe = self.settings.classes[ask.class_name].effect is api.Effect.SAFE
             self.finish(ask, Result(Status.REFUSED if safe or not ran else Status.FAILED))
 
@@ -251,7 +251,7 @@
                 case api.Watch():
                     self.watch()
         for server, attempts in sends.items():
-            attempts = [each for each in attempts if self.out.get((each.piece.part_id, each.number)) is each]
+            attempts = [each for each in attempts if self.out.get((each.part.part_id, each.number)) is each]
             self.counts["calls"] += self.boxes.send(server, attempts)
         self.rearm()
 
@@ -273,20 +273,20 @@
             self.end_attempt(attempt, api.Outcome.TIMED_OUT, {})
 
     def prepare(self, action: api.Send, sends: dict[str, list[Attempt]]) -> None:
-        if action.part_id not in self.pieces:  # its client went in this very turn
+        if action.part_id not in self.parts:  # its client went in this very turn
             self.post(api.AttemptEnded(action.part_id, action.attempt, action.server, api.Outcome.NOT_SENT, 0.0))
             return
-        ask, piece = self.pieces[action.part_id]
-        attempt = Attempt(piece.request, ask.name, action.timeout, not_after=action.not_after, piece=piece, ask=ask,
+        ask, part = self.parts[action.part_id]
+        attempt = Attempt(part.request, ask.name, action.timeout, not_after=action.not_after, part=part, ask=ask,
                           number=action.attempt, server=action.server, sent=self.loop.now)
-        piece.attempts += 1
-        piece.reason = "no answer in time"
+        part.attempts += 1
+        part.reason = "no answer in time"
         self.counts["attempts"] += 1
         if self.zones is not None:
             self.zones.sent(self.loop.now, action.server)
         if attempt.number:
             self.counts["extra_attempts"] += 1
-        self.out[piece.part_id, attempt.number] = attempt
+        self.out[part.part_id, attempt.number] = attempt
         if action.timeout < math.inf:
             at = self.loop.now + action.timeout
             sharing = self.expiries.get(at)
@@ -297,20 +297,20 @@
         sends.setdefault(action.server, []).append(attempt)
 
     def take_reply(self, attempt: Attempt, reply: PartReply, load: Load) -> None:
-        piece, outcome = attempt.piece, reply.outcome
-        if outcome is api.Outcome.SERVED and not piece.served:
+        part, outcome = attempt.part, reply.outcome
+        if outcome is api.Outcome.SERVED and not part.served:
             try:
-                piece.answer = piece.accept(reply.payload)
-                piece.served, piece.server, piece.reason = True, attempt.server, ""
+                part.answer = part.accept(reply.payload)
+                part.served, part.server, part.reason = True, attempt.server, ""
             except ValueError as error:
-                outcome, piece.reason = api.Outcome.ERROR, f"malformed reply: {error}"
+                outcome, part.reason = api.Outcome.ERROR, f"malformed reply: {error}"
         elif outcome is not api.Outcome.SERVED:
-            piece.reason = reply.reason or outcome.value
+            part.reason = reply.reason or outcome.value
         self.end_attempt(attempt, outcome, load)
 
     def end_attempt(self, attempt: Attempt, outcome: api.Outcome, load: Load) -> None:
-        piece = attempt.piece
-        if self.out.pop((piece.part_id, attempt.number), None) is None:
+        part = attempt.part
+        if self.out.pop((part.part_id, attempt.number), None) is None:
             return
         self.counts[ENDED[outcome]] += 1
         now = self.loop.now
@@ -318,9 +318,9 @@
             self.zones.ended(now, attempt.server, outcome, now - attempt.sent)
             if self.zones.changes:
                 self.tell_changes()
-        if attempt.ride is not None:
+        if attempt.call is not None:
             self.boxes.cancel(attempt)
-        self.post(api.AttemptEnded(piece.part_id, attempt.number, attempt.server, outcome,
+        self.post(api.AttemptEnded(part.part_id, attempt.number, attempt.server, outcome,
                                    now - attempt.sent, False, load))
 
     def tell_changes(self) -> None:
@@ -353,7 +353,7 @@
             ask.step, ask.first_whole = 2, action.whole
             ask.fetch = ask.second(ask.first) if ask.second else []
             if ask.fetch:
-                self.add_pieces(ask, ask.fetch)
+                self.add_parts(ask, ask.fetch)
                 return
             self.post(api.QueryGone(ask.query_id))  # nothing is to be fetched: the answer is complete
         self.finish(ask, Result(Status.ANSWERED, action.whole))
@@ -366,11 +366,11 @@
     def finish(self, ask: Ask, result: Result | None) -> None:
         """The one end of a query; None where the client is gone."""
         del self.held[ask.query_id]
-        for piece in (*ask.first, *ask.fetch):
-            self.pieces.pop(piece.part_id, None)
+        for part in (*ask.first, *ask.fetch):
+            self.parts.pop(part.part_id, None)
             # Where it is over nothing begins any more, also what waits for a connection and what may not be cancelled.
-            for number in range(piece.attempts):
-                attempt = self.out.get((piece.part_id, number))
+            for number in range(part.attempts):
+                attempt = self.out.get((part.part_id, number))
                 if attempt is not None and self.boxes.unsent(attempt):
                     self.end_attempt(attempt, api.Outcome.NOT_SENT, {})
         ending = result.status.value if result is not None else "gone"
@@ -380,7 +380,7 @@
         if result is not None and result.status is Status.ANSWERED and not result.whole:
             self.counts["partial"] += 1
         took = self.loop.now - ask.arrived
-        served = sum(piece.served for piece in ask.first)
+        served = sum(part.served for part in ask.first)
         self.on_event("query_ended", query=ask.name, query_class=ask.class_name, ending=ending, took=round(took, 6),
                       parts=len(ask.first), served=served, whole=bool(result and result.whole))
         ask.done.set(result)
--- a/stepknot/broker/queries.py
+++ b/stepknot/broker/queries.py
@@ -16,7 +16,7 @@
 
 from stepknot.boxes.codec import SearchPart, WritePart
 from stepknot.boxes.pool import Pool
-from stepknot.broker.core import Ask, Core, Piece, Result, Status
+from stepknot.broker.core import Ask, Core, QueryPart, Result, Status
 from stepknot.broker.indices import Indices
 from stepknot.config.settings import Config, Index
 from stepknot.net.loop import Loop, Park, Task
@@ -52,7 +52,7 @@
     """A query's end for a front: the result, its parts beside their shards, the page where it was answered."""
 
     result: Result | None
-    pieces: list[Piece]
+    parts: list[QueryPart]
     targets: list[Target]
     took: float
     merged: Merged | None = None
@@ -67,8 +67,8 @@
         return self.result is not None and self.result.status is Status.ANSWERED and self.in_time
 
     def coverage(self) -> Coverage:
-        missing = tuple(target for piece, target in zip(self.pieces, self.targets, strict=True) if not piece.served)
-        asked = len(self.pieces)
+        missing = tuple(target for part, target in zip(self.parts, self.targets, strict=True) if not part.served)
+        asked = len(self.parts)
         return Coverage(asked, asked - len(missing), not missing and not self.lost, missing)
 
 
@@ -194,16 +194,16 @@
         two = kind.second_step_parts > 0
         body = orjson.dumps(shard_body(search, seconds, not two, client.name))
         share = 1 / max(len(targets), 1)
-        def page(pieces: list[Piece]) -> Merged:
-            found: list[ShardHits] = [each.answer for each in pieces if each.served]
-            return merge(search, found, len(found) < len(pieces), self.config.buckets)
+        def page(parts: list[QueryPart]) -> Merged:
+            found: list[ShardHits] = [each.answer for each in parts if each.served]
+            return merge(search, found, len(found) < len(parts), self.config.buckets)
 
         merged: list[Merged | RequestError] = []
         owners: list[Target] = []  # of the second step's parts
 
-        def second(pieces: list[Piece]) -> list[Piece]:
+        def second(parts: list[QueryPart]) -> list[QueryPart]:
             try:
-                merged.append(page(pieces))
+                merged.append(page(parts))
             except (MergeError, RequestError) as error:
                 merged.append(error if isinstance(error, RequestError) else RequestError(
                     f"shards' answers do not fit together: {error}", "search_phase_execution_exception", 503))
@@ -212,14 +212,15 @@
                 return []
             owned = hits_by_shard(search, merged[0].rows)
             owners.extend(owned)
-            return [Piece(target.place, len(ids) / len(merged[0].rows),
-                          SearchPart(target.index, target.shard, orjson.dumps(fetch_body(search, ids, client.name))),
-                          documents_of(ids))
-                    for target, ids in owned.items()]
-
-        pieces = [Piece(target.place, share, SearchPart(target.index, target.shard, body, key),
-                        partial(read_shard, target, search)) for target in targets]
-        ask = Ask(class_name, begun + seconds, pieces, second if two else None,
+            fetches = [(target, ids, orjson.dumps(fetch_body(search, ids, client.name)))
+                       for target, ids in owned.items()]
+            return [QueryPart(target.place, len(ids) / len(merged[0].rows),
+                              SearchPart(target.index, target.shard, body), documents_of(ids))
+                    for target, ids, body in fetches]
+
+        parts = [QueryPart(target.place, share, SearchPart(target.index, target.shard, body, key),
+                           partial(read_shard, target, search)) for target in targets]
+        ask = Ask(class_name, begun + seconds, parts, second if two else None,
                   client.tenant, key, client.name)
         if not targets:
             return Outcome(Result(Status.ANSWERED, True), [], [], 0.0, page([]))
@@ -249,26 +250,27 @@
         for target, name in wanted:
             if name not in by_target[target]:
                 by_target[target].append(name)
-        pieces = []
+        parts = []
         for target, ids in by_target.items():
             body = {"stats": [client.name], "query": {"ids": {"values": ids}}, "size": len(ids), "_source": source,
                     "version": True, "seq_no_primary_term": True, "track_total_hits": False}
-            pieces.append(Piece(target.place, len(ids) / sum(map(len, by_target.values())),
-                                SearchPart(target.index, target.shard, orjson.dumps(body), ids[0]), documents_of(ids)))
+            parts.append(QueryPart(target.place, len(ids) / sum(map(len, by_target.values())),
+                                   SearchPart(target.index, target.shard, orjson.dumps(body), ids[0]),
+                                   documents_of(ids)))
         seconds = self.time_left(class_name, client)
         # Documents come in one step: a class with two is told by an empty second one.
-        ask = Ask(class_name, client.begun(self.core.loop.now) + seconds, pieces, None, client.tenant,
+        ask = Ask(class_name, client.begun(self.core.loop.now) + seconds, parts, None, client.tenant,
                   wanted[0][1] if wanted else "", client.name)
         result = yield from self.run(ask, hang_up)
         targets = list(by_target)
-        found = {(target, row["_id"]): row for piece, target in zip(pieces, targets, strict=True) if piece.served
-                 for row in piece.answer}
-        return Outcome(result, pieces, targets, self.core.loop.now - ask.arrived, documents=found,
+        found = {(target, row["_id"]): row for part, target in zip(parts, targets, strict=True) if part.served
+                 for row in part.answer}
+        return Outcome(result, parts, targets, self.core.loop.now - ask.arrived, documents=found,
                        in_time=self.core.loop.now < ask.deadline)
 
     def write(self, writes: list[Write], operation: str, client: Client, refresh: bool,
               hang_up: Any) -> Steps:
-        """One part a shard; ends in an Outcome whose pieces' answers are the boxes' items, and whose piece a
+        """One part a shard; ends in an Outcome whose parts' answers are the boxes' items, and whose part a
         write went to and its place there (`places`)."""
         class_name = self.class_of(operation, client)
         by_target: dict[Target, list[bytes]] = defaultdict(list)
@@ -276,16 +278,16 @@
         for write in writes:
             places.append((write.target, len(by_target[write.target])))
             by_target[write.target].append(write.lines())
-        pieces = []
+        parts = []
         for target, each in by_target.items():
             self.tokens += 1
             request = WritePart(target.index, target.shard, b"".join(each), len(each),
                                 f"{self.boot}-{self.tokens}.{client.name}", refresh)
-            pieces.append(Piece(target.place, len(each) / len(writes), request, lambda payload: payload["items"]))
+            parts.append(QueryPart(target.place, len(each) / len(writes), request, lambda payload: payload["items"]))
         seconds = self.time_left(class_name, client)
-        ask = Ask(class_name, client.begun(self.core.loop.now) + seconds, pieces, None, client.tenant, "", client.name)
+        ask = Ask(class_name, client.begun(self.core.loop.now) + seconds, parts, None, client.tenant, "", client.name)
         result = yield from self.run(ask, hang_up)
-        outcome = Outcome(result, pieces, list(by_target), self.core.loop.now - ask.arrived,
+        outcome = Outcome(result, parts, list(by_target), self.core.loop.now - ask.arrived,
                           in_time=self.core.loop.now < ask.deadline)
         return outcome, places
 
--- a/stepknot/fronts/graphql/run.py
+++ b/stepknot/fronts/graphql/run.py
@@ -177,7 +177,7 @@
         row = outcome.documents.get((target, identity))
         if row is not None:
             return node_of(kind, wanted, identity, row.get("_source", {}))
-        served = any(piece.served for piece, each in zip(outcome.pieces, outcome.targets, strict=True)
+        served = any(part.served for part, each in zip(outcome.parts, outcome.targets, strict=True)
                      if each == target)
         return None if served else bad("its shard did not answer", code=FAILED, repeatable=True)
 
@@ -329,7 +329,7 @@
             return reason_of(failure)
         if error is not None:
             return error
-        item = next(iter(outcome.pieces[0].answer[0].values()))
+        item = next(iter(outcome.parts[0].answer[0].values()))
         if "error" in item:
             code = WRITE_CODES.get(item["status"], "BAD_USER_INPUT" if item["status"] < 500 else FAILED)
             return bad(str(item["error"].get("reason", "")), code=code, status=item["status"])
--- a/stepknot/fronts/search/app.py
+++ b/stepknot/fronts/search/app.py
@@ -158,9 +158,9 @@
         if outcome.result is None or not outcome.in_time:
             return 0, None, []
         if outcome.result.status is not Status.ANSWERED:
-            ended = replies.ending_body(outcome.result, outcome.pieces, outcome.targets, "the search")
+            ended = replies.ending_body(outcome.result, outcome.parts, outcome.targets, "the search")
             return ended["status"], ended, retry_headers(outcome.result.retry_after)
-        shards = replies.shards_body(outcome.pieces, outcome.targets)
+        shards = replies.shards_body(outcome.parts, outcome.targets)
         if params.get("allow_partial_search_results") == "false" and (shards["failed"] or outcome.lost):
             return 503, replies.error_body(503, "search_phase_execution_exception", "Partial shards failure",
                                            phase="query", grouped=True, failed_shards=shards.get("failures", [])), []
@@ -221,10 +221,10 @@
         if outcome.result is None or not outcome.in_time:
             return None
         if outcome.result.status is not Status.ANSWERED:
-            return replies.ending_reply(outcome.result, outcome.pieces, outcome.targets, "the count")
+            return replies.ending_reply(outcome.result, outcome.parts, outcome.targets, "the count")
         assert outcome.merged is not None
         return reply(200, {"count": outcome.merged.total,
-                           "_shards": replies.shards_body(outcome.pieces, outcome.targets)})
+                           "_shards": replies.shards_body(outcome.parts, outcome.targets)})
 
     # --- documents
 
@@ -248,7 +248,7 @@
         if outcome.result is None or not outcome.in_time:
             return None
         if outcome.result.status is not Status.ANSWERED:
-            return replies.ending_reply(outcome.result, outcome.pieces, outcome.targets, "the get")
+            return replies.ending_reply(outcome.result, outcome.parts, outcome.targets, "the get")
         body = document_body(target, identity, outcome)
         return reply(200 if body["found"] else 404, body)
 
@@ -281,7 +281,7 @@
         if outcome.result is None or not outcome.in_time:
             return None
         if outcome.result.status is not Status.ANSWERED:
-            return replies.ending_reply(outcome.result, outcome.pieces, outcome.targets, "the mget")
+            return replies.ending_reply(outcome.result, outcome.parts, outcome.targets, "the mget")
         return reply(200, {"docs": [document_body(target, identity, outcome) for target, identity in wanted]})
 
     def write(self, request: Request, connection: Connection, name: str, identity: str, action: str) -> Reply:
@@ -305,8 +305,8 @@
         if outcome.result is None or not outcome.in_time:
             return None
         if outcome.result.status is not Status.ANSWERED:
-            return replies.ending_reply(outcome.result, outcome.pieces, outcome.targets, f"the {action}")
-        item = next(iter(outcome.pieces[0].answer[0].values()))
+            return replies.ending_reply(outcome.result, outcome.parts, outcome.targets, f"the {action}")
+        item = next(iter(outcome.parts[0].answer[0].values()))
         if "error" in item:
             return replies.error_reply(item["status"], item["error"]["type"], item["error"]["reason"])
         return reply(item["status"], {key: value for key, value in item.items() if key != "status"})
@@ -352,15 +352,15 @@
         if outcome.result is None or not outcome.in_time:
             return None
         if outcome.result.status is not Status.ANSWERED:
-            return replies.ending_reply(outcome.result, outcome.pieces, outcome.targets, "the bulk")
-        by_target = dict(zip(outcome.targets, outcome.pieces, strict=True))
+            return replies.ending_reply(outcome.result, outcome.parts, outcome.targets, "the bulk")
+        by_target = dict(zip(outcome.targets, outcome.parts, strict=True))
         items = []
         for (target, at), (action, identity) in zip(places, actions, strict=True):
-            piece = by_target[target]
-            items.append(piece.answer[at] if piece.served else {action: {
+            part = by_target[target]
+            items.append(part.answer[at] if part.served else {action: {
                 "_index": target.index, "_id": identity, "status": 503, "error": {
                     "type": "unavailable_shards_exception",
-                    "reason": f"it may or may not have taken effect: {piece.reason}"}}})
+                    "reason": f"it may or may not have taken effect: {part.reason}"}}})
         errors = any("error" in next(iter(item.values())) for item in items)
         return reply(200, {"took": int(outcome.took * 1000), "errors": errors, "items": items})
 
@@ -453,7 +453,7 @@
     assert outcome.documents is not None
     row = outcome.documents.get((target, identity))
     if row is None:
-        served = any(piece.served for piece, each in zip(outcome.pieces, outcome.targets, strict=True)
+        served = any(part.served for part, each in zip(outcome.parts, outcome.targets, strict=True)
                      if each == target)
         missing: dict[str, Any] = {"_index": target.index, "_id": identity, "found": False}
         if not served:
--- a/stepknot/fronts/search/replies.py
+++ b/stepknot/fronts/search/replies.py
@@ -6,7 +6,7 @@
 
 import orjson
 
-from stepknot.broker.core import Piece, Result, Status
+from stepknot.broker.core import QueryPart, Result, Status
 from stepknot.net.http import Response, retry_headers
 from stepknot.search.errors import RequestError
 from stepknot.search.merge import Merged, Target
@@ -33,34 +33,34 @@
     return error_reply(error.status, error.type, error.reason)
 
 
-def failures(pieces: list[Piece], targets: list[Target]) -> list[Body]:
+def failures(parts: list[QueryPart], targets: list[Target]) -> list[Body]:
     return [
-        {"shard": target.shard, "index": target.index, "node": piece.server or None,
-         "reason": {"type": "no_shard_available_action_exception", "reason": piece.reason}}
-        for piece, target in zip(pieces, targets, strict=True) if not piece.served
+        {"shard": target.shard, "index": target.index, "node": part.server or None,
+         "reason": {"type": "no_shard_available_action_exception", "reason": part.reason}}
+        for part, target in zip(parts, targets, strict=True) if not part.served
     ]
 
 
-def shards_body(pieces: list[Piece], targets: list[Target]) -> Body:
-    served = sum(piece.served for piece in pieces)
-    body: Body = {"total": len(pieces), "successful": served, "skipped": 0, "failed": len(pieces) - served}
-    if served < len(pieces):
-        body["failures"] = failures(pieces, targets)
+def shards_body(parts: list[QueryPart], targets: list[Target]) -> Body:
+    served = sum(part.served for part in parts)
+    body: Body = {"total": len(parts), "successful": served, "skipped": 0, "failed": len(parts) - served}
+    if served < len(parts):
+        body["failures"] = failures(parts, targets)
     return body
 
 
-def ending_body(result: Result, pieces: list[Piece], targets: list[Target], what: str) -> Body:
+def ending_body(result: Result, parts: list[QueryPart], targets: list[Target], what: str) -> Body:
     """Of a query that was refused or failed."""
     if result.status is Status.REFUSED:
         return error_body(429, "rejected_execution_exception",
                           f"{what} was refused; nothing of it has taken effect, trying again is harmless")
     return error_body(503, "no_shard_available_action_exception",
                       f"{what} was given up; it may or may not have taken effect",
-                      failed_shards=failures(pieces, targets))
+                      failed_shards=failures(parts, targets))
 
 
-def ending_reply(result: Result, pieces: list[Piece], targets: list[Target], what: str) -> Response:
-    body = ending_body(result, pieces, targets, what)
+def ending_reply(result: Result, parts: list[QueryPart], targets: list[Target], what: str) -> Response:
+    body = ending_body(result, parts, targets, what)
     return reply(body["status"], body, retry_headers(result.retry_after))
 
 
--- a/stepknot/platform/frames.py
+++ b/stepknot/platform/frames.py
@@ -64,11 +64,11 @@
 
 def call(parts: list[tuple[Part, float]]) -> bytes:
     """A frame `R`: parts, each with the seconds that the broker will wait."""
-    pieces = []
+    rows = []
     for part, wait in parts:
         pairs = f"d={max(math.ceil(wait * 1000), 1)}" + (f",k={part.key}" if part.key else "")
-        pieces.append(b"%s %d %s %d\n%s" % (part.part, part.shard, pairs.encode(), len(part.text), part.text))
-    return frame(b"R", b"".join(pieces))
+        rows.append(b"%s %d %s %d\n%s" % (part.part, part.shard, pairs.encode(), len(part.text), part.text))
+    return frame(b"R", b"".join(rows))
 
 
 def cancel(part: bytes) -> bytes:
--- a/stepknot/platform/nodes.py
+++ b/stepknot/platform/nodes.py
@@ -22,7 +22,7 @@
 from dataclasses import dataclass, field
 
 from stepknot.boxes.codec import PartReply
-from stepknot.boxes.side import Load, OnReply, Parcel, nobody
+from stepknot.boxes.side import Load, OnReply, OutgoingAttempt, nobody
 from stepknot.interface import Outcome
 from stepknot.net.loop import Coroutine, Expired, Link, Loop
 from stepknot.platform import frames
@@ -37,7 +37,7 @@
 class Frame:
     """What waits to be written on a connection. A call is put into bytes as late as can be."""
 
-    parcels: list[Parcel]
+    attempts: list[OutgoingAttempt]
     at: float  # when it was handed over here
     data: bytes = b""
     sent: int = 0
@@ -49,7 +49,9 @@
 
 
 @dataclass(slots=True, eq=False)
-class Ride:
+class Call:
+    """What an attempt travels in: the frame, and the connection that carries it and its answer."""
+
     conn: Connection
     frame: Frame
 
@@ -59,7 +61,7 @@
     node: Node
     since: float  # when it was last in use
     link: Link | None = None  # none while it is not up
-    waiting: dict[bytes, Parcel] = field(default_factory=dict)  # by part id
+    waiting: dict[bytes, OutgoingAttempt] = field(default_factory=dict)  # by part id
     cancelled: dict[bytes, None] = field(default_factory=dict)  # ids that may still be answered
     queue: deque[Frame] = field(default_factory=deque)
     probes: dict[bytes, OnProbe | None] = field(default_factory=dict)  # by letter; None: nobody waits any more
@@ -137,26 +139,26 @@
 
     # --- calls
 
-    def send(self, server: str, parcels: list[Parcel]) -> int:
+    def send(self, server: str, attempts: list[OutgoingAttempt]) -> int:
         size, calls = self.parts_per_call, 0
-        for place in range(0, len(parcels), size):
-            self.start(server, parcels[place:place + size])
+        for place in range(0, len(attempts), size):
+            self.start(server, attempts[place:place + size])
             calls += 1
         return calls
 
-    def start(self, server: str, parcels: list[Parcel]) -> None:
-        conn = self.find(server, parcels)
+    def start(self, server: str, attempts: list[OutgoingAttempt]) -> None:
+        conn = self.find(server, attempts)
         if conn is None:
-            for parcel in parcels:
-                self.on_reply(parcel, PartReply(Outcome.NOT_CONNECTED, reason="no room for a connection"), {})
+            for attempt in attempts:
+                self.on_reply(attempt, PartReply(Outcome.NOT_CONNECTED, reason="no room for a connection"), {})
             return
-        frame = Frame(parcels, self.loop.now)
-        for parcel in parcels:
-            parcel.ride = Ride(conn, frame)
-            conn.waiting[parcel.request.part] = parcel
+        frame = Frame(attempts, self.loop.now)
+        for attempt in attempts:
+            attempt.call = Call(conn, frame)
+            conn.waiting[attempt.request.part] = attempt
         self.put(conn, frame)
 
-    def find(self, server: str, parcels: list[Parcel]) -> Connection | None:
+    def find(self, server: str, attempts: list[OutgoingAttempt]) -> Connection | None:
         """The connection with the most on it that has room, or a new one."""
         node = self.nodes.get(server)
         if node is None:
@@ -164,8 +166,8 @@
         found = None
         self.close_doubted(node)
         for conn in node.connections:
-            if len(conn.waiting) + len(parcels) <= self.streams and not self.doubted(conn) and not any(
-                    conn.may_bring(each.request.part) for each in parcels):
+            if len(conn.waiting) + len(attempts) <= self.streams and not self.doubted(conn) and not any(
+                    conn.may_bring(each.request.part) for each in attempts):
                 if found is None or len(conn.waiting) > len(found.waiting):
                     found = conn
         return found or self.connect(node)
@@ -183,16 +185,16 @@
         self.dirty[conn] = None
         self.loop.again = True
 
-    def cancel(self, parcel: Parcel) -> None:
-        ride, parcel.ride = parcel.ride, None
-        if ride is None:
+    def cancel(self, attempt: OutgoingAttempt) -> None:
+        call, attempt.call = attempt.call, None
+        if call is None:
             return
-        conn, frame, part = ride.conn, ride.frame, parcel.request.part
+        conn, frame, part = call.conn, call.frame, attempt.request.part
         self.expect_no_more(conn, part)
         if not frame.sent:
-            self.take_off(conn, frame, parcel)
+            self.take_off(conn, frame, attempt)
             return
-        if not frame.taken and not any(each.ride for each in frame.parcels):
+        if not frame.taken and not any(each.call for each in frame.attempts):
             self.end(conn, "half a call that nobody waits for")  # its last byte would begin it
             return
         conn.cancelled[part] = None
@@ -205,40 +207,40 @@
         if not conn.waiting and not conn.probes and not self.doubted(conn):
             conn.silent_since = math.inf  # called off before its silence told anything
 
-    def take_off(self, conn: Connection, frame: Frame, parcel: Parcel) -> None:
+    def take_off(self, conn: Connection, frame: Frame, attempt: OutgoingAttempt) -> None:
         """The frame is written without this part, or not at all; the kernel took none of it yet."""
         frame.data = b""  # where it was in bytes already
-        frame.parcels.remove(parcel)
-        if not frame.parcels:
+        frame.attempts.remove(attempt)
+        if not frame.attempts:
             conn.queue.remove(frame)
 
-    def unsent(self, parcel: Parcel) -> bool:
-        return parcel.ride is None or not parcel.ride.frame.sent
+    def unsent(self, attempt: OutgoingAttempt) -> bool:
+        return attempt.call is None or not attempt.call.frame.sent
 
     def withdraw(self, server: str) -> None:
         node = self.nodes.get(server)
         for conn in list(node.connections) if node is not None else []:
             for frame in list(conn.queue):
-                for parcel in list(frame.parcels):
-                    self.call_back(conn, frame, parcel, "its node takes nothing new")
+                for attempt in list(frame.attempts):
+                    self.call_back(conn, frame, attempt, "its node takes nothing new")
 
-    def call_back(self, conn: Connection, frame: Frame, parcel: Parcel, why: str) -> None:
+    def call_back(self, conn: Connection, frame: Frame, attempt: OutgoingAttempt, why: str) -> None:
         """It is not written any more, where none of its frame was."""
-        if parcel.ride is not None and not frame.sent:
-            self.take_off(conn, frame, parcel)
-            self.expect_no_more(conn, parcel.request.part)
-            parcel.ride = None
-            self.on_reply(parcel, PartReply(Outcome.NOT_CONNECTED, reason=why), {})
+        if attempt.call is not None and not frame.sent:
+            self.take_off(conn, frame, attempt)
+            self.expect_no_more(conn, attempt.request.part)
+            attempt.call = None
+            self.on_reply(attempt, PartReply(Outcome.NOT_CONNECTED, reason=why), {})
 
     def call_back_late(self, conn: Connection) -> None:
         """Before anything is written: what may not be any more."""
         now = self.loop.clock()
         for frame in list(conn.queue):
-            for parcel in [each for each in frame.parcels if each.not_after <= now]:
+            for attempt in [each for each in frame.attempts if each.not_after <= now]:
                 if frame.sent:
                     self.end(conn, "half a call whose time is over")
                     return
-                self.call_back(conn, frame, parcel, "its time is over")
+                self.call_back(conn, frame, attempt, "its time is over")
 
     # --- probes
 
@@ -325,15 +327,15 @@
         """Whether it was to be expected on this connection."""
         match message:
             case frames.PartEnded():
-                parcel = conn.waiting.get(message.part)
-                if parcel is None:
+                attempt = conn.waiting.get(message.part)
+                if attempt is None:
                     return conn.cancelled.pop(message.part, self) is None
-                if not parcel.ride.frame.taken:
+                if not attempt.call.frame.taken:
                     return False
                 del conn.waiting[message.part]
-                parcel.ride = None
+                attempt.call = None
                 payload = message.value if message.outcome is Outcome.SERVED else None
-                self.on_reply(parcel, PartReply(message.outcome, payload, "the node's own word"), message.load)
+                self.on_reply(attempt, PartReply(message.outcome, payload, "the node's own word"), message.load)
                 return True
             case frames.ProbeAnswered():
                 if message.letter not in conn.probes:
@@ -359,10 +361,10 @@
         waiting, conn.waiting = list(conn.waiting.values()), {}
         probes, conn.probes = list(conn.probes.values()), {}
         conn.queue.clear()
-        for parcel in waiting:
-            taken, parcel.ride = parcel.ride.frame.taken, None
+        for attempt in waiting:
+            taken, attempt.call = attempt.call.frame.taken, None
             outcome = Outcome.RESET if taken else Outcome.NOT_CONNECTED
-            self.on_reply(parcel, PartReply(outcome, reason=why), {})
+            self.on_reply(attempt, PartReply(outcome, reason=why), {})
         for on_end in probes:
             if on_end is not None:
                 on_end(Outcome.RESET if conn.link is not None else Outcome.NOT_CONNECTED, {})
@@ -389,7 +391,7 @@
         while conn.queue:
             for frame in conn.queue:
                 if not frame.data:
-                    frame.data = frames.call([(each.request, each.wait - (now - frame.at)) for each in frame.parcels])
+                    frame.data = frames.call([(each.request, each.wait - (now - frame.at)) for each in frame.attempts])
             data = b"".join(frame.data[frame.sent:] for frame in conn.queue)
             try:
                 count = link.send_now(data)
--- a/stepknot/platform/requests.py
+++ b/stepknot/platform/requests.py
@@ -13,7 +13,7 @@
 
 import orjson
 
-from stepknot.broker.core import Ask, Piece, Result, Status
+from stepknot.broker.core import Ask, QueryPart, Result, Status
 from stepknot.interface import Effect, QueryClass
 from stepknot.net.http import Request, Response
 from stepknot.platform.frames import Part
@@ -81,15 +81,15 @@
     elif not ID.match(key):
         raise BadRequest(400, "idempotency-key: expected one in this class, 64 letters and digits at the most")
     remaining = read_time(head.get("x-remaining"))
-    pieces, text = read_body(request.body, offer.shards)
-    for piece in pieces:
-        piece.request = Part(f"{name}.{piece.shard}".encode(), piece.shard, text, key)
-    efforts = [piece.effort for piece in pieces]
-    return Ask(kind.name, arrived + min(remaining, kind.deadline), pieces, name=name,
+    parts, text = read_body(request.body, offer.shards)
+    for part in parts:
+        part.request = Part(f"{name}.{part.shard}".encode(), part.shard, text, key)
+    efforts = [part.effort for part in parts]
+    return Ask(kind.name, arrived + min(remaining, kind.deadline), parts, name=name,
                effort=sum(efforts) if all(efforts) else 0.0, retry=head.get("x-resent") == "1")
 
 
-def read_body(data: bytes, shards: int) -> tuple[list[Piece], bytes]:
+def read_body(data: bytes, shards: int) -> tuple[list[QueryPart], bytes]:
     try:
         body = orjson.loads(data)
     except ValueError:
@@ -100,18 +100,18 @@
     text = body["text"].encode()
     if len(text) > MOST_TEXT:
         raise BadRequest(413, f"text is over {MOST_TEXT} bytes")
-    pieces = [read_segment(each, shards) for each in body["segments"]]
-    if len({piece.shard for piece in pieces}) < len(pieces):
+    parts = [read_segment(each, shards) for each in body["segments"]]
+    if len({part.shard for part in parts}) < len(parts):
         raise BadRequest(400, "a segment is named twice")
-    total = math.fsum(piece.weight for piece in pieces)
+    total = math.fsum(part.weight for part in parts)
     if abs(total - 1) > ROUNDING:
         raise BadRequest(400, "the segments' shares do not add up to 1")
-    for piece in pieces:  # what was rounded on the way would keep all parts together from being the whole
-        piece.weight /= total
-    return pieces, text
+    for part in parts:  # what was rounded on the way would keep all parts together from being the whole
+        part.weight /= total
+    return parts, text
 
 
-def read_segment(row: Any, shards: int) -> Piece:
+def read_segment(row: Any, shards: int) -> QueryPart:
     if not isinstance(row, dict):
         raise BadRequest(400, "a segment is an object")
     shard, weight, work = row.get("segment"), row.get("boost"), row.get("work", 0)
@@ -124,13 +124,13 @@
     affinity = row.get("affinity")
     if affinity is not None and (not isinstance(affinity, str) or not AFFINITY.match(affinity)):
         raise BadRequest(400, "affinity: expected 16 hex digits")
-    return Piece(shard, float(weight), None, str, effort=float(work) * MICRO)
+    return QueryPart(shard, float(weight), None, str, effort=float(work) * MICRO)
 
 
 def make_answer(ask: Ask, result: Result) -> Response:
     """The final answer: what is in and whether it is whole; or refused, with advice when to return; or failed."""
     if result.status is Status.ANSWERED:
-        rows = [{"segment": piece.shard, "payload": piece.answer} for piece in ask.first if piece.served]
+        rows = [{"segment": part.shard, "payload": part.answer} for part in ask.first if part.served]
         return Response(200, orjson.dumps({"all_in": result.whole, "matches": rows}), content_type="application/json")
     if result.status is Status.REFUSED:
         return error_answer(503, "turned away, trying again is harmless", advice(result.retry_after))
--- a/tests/platform/test_hard_cases.py
+++ b/tests/platform/test_hard_cases.py
@@ -13,7 +13,7 @@
 import pytest
 
 from stepknot.boxes.codec import PartReply
-from stepknot.boxes.side import Parcel
+from stepknot.boxes.side import OutgoingAttempt
 from stepknot.interface import Outcome
 from stepknot.platform.frames import Part
 from tests.broker.scripted import WAIT, until
@@ -230,8 +230,8 @@
         nodes = found.service.nodes
         assert found.ask().status == 200
         (conn,) = connections(found)
-        part = Parcel(Part(b"x.0", 0, b"t"), "x", 1.0)
-        found.call(lambda: setattr(nodes, "on_reply", lambda parcel, reply, load: None))
+        part = OutgoingAttempt(Part(b"x.0", 0, b"t"), "x", 1.0)
+        found.call(lambda: setattr(nodes, "on_reply", lambda attempt, reply, load: None))
 
         def cross() -> tuple[bool, bool]:
             conn.since = -1e9  # idle for longer than any node allows
--- a/tests/platform/test_nodes.py
+++ b/tests/platform/test_nodes.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from stepknot.boxes.side import Parcel
+from stepknot.boxes.side import OutgoingAttempt
 from stepknot.interface import Outcome
 from stepknot.platform.frames import Part
 from stepknot.platform.nodes import Connection, Nodes
@@ -244,16 +244,16 @@
         listener.settimeout(WAIT)
         move(found, listener)
         ended: list[Outcome] = []
-        parcels = [Parcel(Part(b"a%d.0" % number, 0, b"x" * 30_000), "a", 5.0) for number in range(300)]
+        attempts = [OutgoingAttempt(Part(b"a%d.0" % number, 0, b"x" * 30_000), "a", 5.0) for number in range(300)]
 
         def send() -> None:
-            nodes.on_reply = lambda parcel, reply, load: ended.append(reply.outcome)
-            nodes.send("s-0", parcels)
+            nodes.on_reply = lambda attempt, reply, load: ended.append(reply.outcome)
+            nodes.send("s-0", attempts)
 
         found.call(send)
         sock, _ = listener.accept()
         until(lambda: connections(found)[0].flushing)
-        found.call(lambda: nodes.cancel(parcels[-1]))  # unwritten: nothing is said of it
+        found.call(lambda: nodes.cancel(attempts[-1]))  # unwritten: nothing is said of it
         assert len(connections(found)[0].cancelled) == 0
         sock.close()
         until(lambda: len(ended) == 299)
@@ -267,18 +267,18 @@
         listener = socket.create_server(("127.0.0.1", 0))
         listener.settimeout(WAIT)
         move(found, listener)
-        parcels = [Parcel(Part(b"a%d.0" % number, 0, b"x" * 30_000), "a", 5.0) for number in range(300)]
+        attempts = [OutgoingAttempt(Part(b"a%d.0" % number, 0, b"x" * 30_000), "a", 5.0) for number in range(300)]
 
         def send() -> None:
-            nodes.on_reply, nodes.parts_per_call = (lambda parcel, reply, load: None), 2
-            nodes.send("s-0", parcels)
+            nodes.on_reply, nodes.parts_per_call = (lambda attempt, reply, load: None), 2
+            nodes.send("s-0", attempts)
 
         found.call(send)
         sock, _ = listener.accept()
         sock.settimeout(WAIT)
         until(lambda: connections(found)[0].flushing)
         assert all(frame.data for frame in connections(found)[0].queue)  # in bytes already
-        found.call(lambda: nodes.cancel(parcels[-1]))
+        found.call(lambda: nodes.cancel(attempts[-1]))
         data = b""
         while b"a298.0 " not in data[-40_000:]:
             data += sock.recv(1 << 20)
@@ -359,7 +359,7 @@
         until(lambda: not service.core.inbox and not service.core.expiries)
         core, module = service.core, service.core.module
         tables = found.call(lambda: [len(each) for each in (
-            core.held, core.pieces, core.out, core.expiries, module.queries, module.fresh, module.attempts,
+            core.held, core.parts, core.out, core.expiries, module.queries, module.fresh, module.attempts,
             service.open)])
         assert tables == [0] * len(tables)
         assert found.call(lambda: sum(len(conn.cancelled) for conn in service.nodes.all())) <= 10
@@ -377,22 +377,23 @@
         self.listener.settimeout(WAIT)
         move(found, self.listener)
         self.ended: list[tuple[bytes, Outcome]] = []
-        self.parcels = [Parcel(Part(b"a%d.0" % number, 0, b"x" * 30_000), "a", 5.0) for number in range(calls)]
+        self.attempts = [OutgoingAttempt(Part(b"a%d.0" % number, 0, b"x" * 30_000), "a", 5.0)
+                         for number in range(calls)]
         found.call(self.send)
         self.sock, _ = self.listener.accept()
         self.sock.settimeout(WAIT)
         until(lambda: self.conn.flushing)
 
     def send(self) -> None:
-        self.nodes.on_reply = lambda parcel, reply, load: self.ended.append((parcel.request.part, reply.outcome))
-        self.nodes.send("s-0", self.parcels)
+        self.nodes.on_reply = lambda attempt, reply, load: self.ended.append((attempt.request.part, reply.outcome))
+        self.nodes.send("s-0", self.attempts)
 
     @property
     def conn(self) -> Connection:
         return connections(self.found)[0]
 
-    def half_written(self) -> Parcel:
-        return self.conn.queue[0].parcels[0]
+    def half_written(self) -> OutgoingAttempt:
+        return self.conn.queue[0].attempts[0]
 
     def read_all(self) -> bytes:
         """All that still comes until nothing waits here and the kernel holds nothing, or until the end."""
@@ -424,9 +425,9 @@
     """A full socket or a connection that comes up late held calls back beyond the grace of the drain."""
     with world(streams_per_conn=400) as found:
         queued = Queued(found)
-        begun = len(queued.parcels) - sum(not frame.sent for frame in queued.conn.queue)
+        begun = len(queued.attempts) - sum(not frame.sent for frame in queued.conn.queue)
         found.discovery.change(found.row(0, "leaving", addr=f"127.0.0.1:{queued.listener.getsockname()[1]}"))
-        until(lambda: len(queued.ended) == len(queued.parcels) - begun)
+        until(lambda: len(queued.ended) == len(queued.attempts) - begun)
         assert {outcome for _, outcome in queued.ended} == {Outcome.NOT_CONNECTED}
         data = queued.read_all()
         assert data.count(b" d=") == begun  # what had begun is finished, and nothing after it
@@ -437,11 +438,11 @@
     """A keyed part was sent again after its window: it was chosen within it and waited for its connection."""
     with world(streams_per_conn=400) as found:
         queued = Queued(found)
-        late = queued.parcels[-1]
+        late = queued.attempts[-1]
         found.call(lambda: setattr(late, "not_after", 0.0))
         data = queued.read_all()
         assert (late.request.part, Outcome.NOT_CONNECTED) in queued.ended and late.request.part not in data
-        assert queued.parcels[-2].request.part in data
+        assert queued.attempts[-2].request.part in data
         queued.close()
     with world(streams_per_conn=400) as found:
         queued = Queued(found)
@@ -461,6 +462,6 @@
         found.call(lambda: queued.nodes.cancel(half))
         until(queued.conn_gone)
         data = queued.read_all()
-        assert len(queued.ended) == len(queued.parcels) - 1  # the others ended as the connection did
+        assert len(queued.ended) == len(queued.attempts) - 1  # the others ended as the connection did
         assert len(data) - data.rindex(half.request.part) < 30_000
         queued.close()
