--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -116,7 +116,7 @@
 
 
 def number(value: float) -> str:
-    if value >= 1000:
+    if abs(value) >= 1000:
         return f"{value:,.0f}"
     return f"{value:.3g}"
 
