--- a/tests/lab/test_scale_run.py
+++ b/tests/lab/test_scale_run.py
@@ -57,7 +57,12 @@
 
 def test_whoever_interrupts_it_leaves_no_process_behind(tmp_path: Path) -> None:
     folder = tmp_path / "run"
-    with subprocess.Popen([*COMMAND, "--out", str(folder)], stderr=subprocess.PIPE) as run:
+    def as_from_a_terminal() -> None:
+        """Where the tests run in the background of a shell, SIGINT is ignored, and a child would inherit that."""
+        signal.signal(signal.SIGINT, signal.SIG_DFL)
+
+    with subprocess.Popen([*COMMAND, "--out", str(folder)], stderr=subprocess.PIPE,
+                          preexec_fn=as_from_a_terminal) as run:
         assert run.stderr is not None
         while b"start " not in (line := run.stderr.readline()):  # all processes are up, and members start
             assert line, "it ended early"
