One maker of subsets for the slopes; the capacity rows name their sources without a wrapper

On reading the change again: the plan of the list and the subset's own slopes each made the same Subset by hand, with the cold time written twice; a function in bench/capacity.py returned its arguments. The table of docs/CAPACITY.md made anew is the same byte for byte; the quick slopes of both groups ran.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -153,73 +153,70 @@
         """ms of processor time of one query to all shards."""
         return size.shards * ((at(part, replicas) + io) / 1e3 + probes * (probe.slope + asked.slope))
 
-    def source_of(*names: tuple[str, float]) -> tuple[tuple[str, float], ...]:
-        return names
-
     return [
         Row("query path", "a query to all shards, whole list, each replica asked", lambda s: query(
-            s, s.replicas, s.replicas), "ms", AIM, "none but `subset` below", source_of(
+            s, s.replicas, s.replicas), "ms", AIM, "none but `subset` below", (
             ("decide, 58 shards, 6 parts: a part, all", FULL.replicas),
             ("decide, probing: first query placed, probes and all", FULL.nodes),
             ("connections: opened, with a probe answered, CPU", FULL.nodes))),
         Row("query path", "the same, nothing asked (`probing = false`)", lambda s: query(s, s.replicas, 0.0), "ms", AIM,
-            "`logic.py`", source_of(("decide, 58 shards, 6 parts: a part, all", FULL.replicas))),
+            "`logic.py`", (("decide, 58 shards, 6 parts: a part, all", FULL.replicas),)),
         Row("query path", "the same with subsets of 4, each asked", lambda s: query(s, held, held), "ms", AIM,
-            "`subsets`; at 580 parts a tree or several cores: none yet", source_of(
-                ("decide, 58 shards, 6 parts: a part, all", held))),
+            "`subsets`; at 580 parts a tree or several cores: none yet", (
+                ("decide, 58 shards, 6 parts: a part, all", held),)),
         Row("query path", "memory of module and entries, whole list", lambda s: at(module_memory, s.nodes), "bytes",
-            MEMORY, "`logic.py`", source_of(("decide, 2 replicas, 6 parts: memory with the entries", FULL.nodes))),
+            MEMORY, "`logic.py`", (("decide, 2 replicas, 6 parts: memory with the entries", FULL.nodes),)),
         Row("query path", "memory of module and subset, with the entries in use", lambda s: at(
-            module_memory, held * s.shards) + at(index_memory, s.nodes), "bytes", 8e6, "`subsets`", source_of(
+            module_memory, held * s.shards) + at(index_memory, s.nodes), "bytes", 8e6, "`subsets`", (
             ("subset: memory beside the list", FULL.nodes),
             ("decide, 2 replicas, 6 parts: memory with the entries", held * FULL.shards))),
         Row("query path", "connections to nodes, whole list: descriptors", lambda s: s.nodes, "", DESCRIPTORS,
             "`platform/nodes.py`", ()),
         Row("query path", "their memory", lambda s: at(connection, s.nodes), "bytes", MEMORY, "`platform/nodes.py`",
-            source_of(("connections: memory with the nodes' own", FULL.nodes))),
+            (("connections: memory with the nodes' own", FULL.nodes),)),
         Row("query path", "their memory with subsets", lambda s: at(connection, held * s.shards), "bytes", MEMORY,
-            "`subsets`", source_of(("connections: memory with the nodes' own", held * FULL.shards))),
+            "`subsets`", (("connections: memory with the nodes' own", held * FULL.shards),)),
         Row("query path", "upkeep of idle connections, whole list", lambda s: at(sweep, s.nodes) / 1e6, "core", CORE,
-            "`platform/nodes.py`", source_of(("connections: idle, a sweep each 3.0 s", FULL.nodes))),
+            "`platform/nodes.py`", (("connections: idle, a sweep each 3.0 s", FULL.nodes),)),
         Row("node", "connections from brokers, whole list", lambda s: s.brokers, "", math.inf, "none but `subset`", ()),
         Row("node", "connections from brokers, subsets of 4", lambda s: s.brokers * min(
             1.0, max(held, 256 * s.replicas / s.brokers) / s.replicas), "", math.inf, "`subsets`", ()),
         Row("discovery", "a whole list read at once: the loop is held (platform)", lambda s: at(whole, s.nodes), "ms",
-            AIM, "`platform/discovery.py`", source_of(("readers: platform's whole list", FULL.nodes))),
+            AIM, "`platform/discovery.py`", (("readers: platform's whole list", FULL.nodes),)),
         Row("discovery", "nodes on a list (`MOST_NODES`)", lambda s: s.nodes, "", 10_000,
             "`platform/discovery.py`", ()),
         Row("discovery", "one change found in the file's list: the loop is held", lambda s: at(one, s.nodes), "ms", AIM,
-            "`discovery/boxlist.py`", source_of(("readers: one change found in the file's entries", FULL.nodes))),
+            "`discovery/boxlist.py`", (("readers: one change found in the file's entries", FULL.nodes),)),
         Row("discovery", "one change taken by the module, whole list", lambda s: at(change, s.nodes), "ms", AIM,
-            "`logic.py`", source_of(("decide, 2 replicas, 6 parts: one change", FULL.nodes))),
+            "`logic.py`", (("decide, 2 replicas, 6 parts: one change", FULL.nodes),)),
         Row("discovery", "changes of an ordinary day in the module, whole list", lambda s: at(
-            change, s.nodes) / 1e3 * 3 * RESTARTS * s.nodes / FULL.nodes / DAY, "core", CORE, "`logic.py`", source_of(
-            ("decide, 2 replicas, 6 parts: one change", FULL.nodes))),
+            change, s.nodes) / 1e3 * 3 * RESTARTS * s.nodes / FULL.nodes / DAY, "core", CORE, "`logic.py`", (
+            ("decide, 2 replicas, 6 parts: one change", FULL.nodes),)),
         Row("discovery", "longest slice of a list taken in with subsets", lambda s: at(taken, s.nodes), "ms", 5.0,
-            "`subsets`", source_of(("subset: whole list, longest unit", FULL.nodes))),
+            "`subsets`", (("subset: whole list, longest unit", FULL.nodes),)),
         Row("membership", "memory of the records", lambda s: at(record, s.brokers), "bytes", MEMORY, "`peers/table.py`",
-            source_of(("members: memory of one member's table", FULL.brokers))),
+            (("members: memory of one member's table", FULL.brokers),)),
         Row("membership", "records kept (`most`, a setting)", lambda s: s.brokers, "", 1024, "`peers/table.py`", ()),
         Row("membership", "sent, quiet", lambda s: at(quiet, s.brokers), "bytes/s", RATE, "`peers/rate.py`",
-            source_of(("members: quiet, median member", FULL.brokers))),
+            (("members: quiet, median member", FULL.brokers),)),
         Row("membership", "CPU, quiet", lambda s: at(quiet_cpu, s.brokers) / 1e6, "core", CORE, "`peers/members.py`",
-            source_of(("members: quiet, CPU of a member", FULL.brokers))),
+            (("members: quiet, CPU of a member", FULL.brokers),)),
         Row("membership", "all learn of a crash", lambda s: at(crash, s.brokers), "s", FORCE, "`peers/gossip.py`",
-            source_of(("members: all learnt of a crash", FULL.brokers))),
+            (("members: all learnt of a crash", FULL.brokers),)),
         Row("membership", "bad hours: settled after all start within a second", lambda s: at(settled, s.brokers), "s",
-            FORCE, "`peers/members.py`; groups: none yet", source_of(
-                ("members: settled after all started within a second", FULL.brokers))),
+            FORCE, "`peers/members.py`; groups: none yet", (
+                ("members: settled after all started within a second", FULL.brokers),)),
         Row("membership", "bad hours: settled after a zone returned", lambda s: at(returned, s.brokers), "s", FORCE,
-            "`peers/members.py`; groups: none yet", source_of((
-                "members: settled after a zone returned", FULL.brokers))),
+            "`peers/members.py`; groups: none yet", ((
+                "members: settled after a zone returned", FULL.brokers),)),
         Row("owner", "sent by the owner of one job, lease 2 s", lambda s: at(owner, s.brokers), "bytes/s", RATE,
-            "`ownership/node.py`; a relay: none yet", source_of((
-                "owners, 3 voters, 1 jobs: bytes of the member that sends most", FULL.brokers))),
+            "`ownership/node.py`; a relay: none yet", ((
+                "owners, 3 voters, 1 jobs: bytes of the member that sends most", FULL.brokers),)),
         Row("owner", "the same, lease 60 s (greatest setting; arithmetic: by 2/60)", lambda s: at(
-            owner, s.brokers) / 30, "bytes/s", RATE, "`ownership/node.py`; a relay: none yet", source_of((
-                "owners, 3 voters, 1 jobs: bytes of the member that sends most", FULL.brokers))),
+            owner, s.brokers) / 30, "bytes/s", RATE, "`ownership/node.py`; a relay: none yet", ((
+                "owners, 3 voters, 1 jobs: bytes of the member that sends most", FULL.brokers),)),
         Row("owner", "CPU of a member that does not own", lambda s: at(owner_cpu, s.brokers) / 1e6, "core", CORE,
-            "`ownership/node.py`", source_of(("owners, 3 voters, 1 jobs: CPU of a member, mean", FULL.brokers))),
+            "`ownership/node.py`", (("owners, 3 voters, 1 jobs: CPU of a member, mean", FULL.brokers),)),
     ]
 
 
--- a/bench/scale_decide.py
+++ b/bench/scale_decide.py
@@ -78,10 +78,13 @@
     return [each for cell in cells.values() for each in chance.sample(cell, min(RANDOM_REPLICAS, len(cell)))]
 
 
+def make_subset(cells: int, identity: str) -> Subset:
+    return Subset(SubsetSettings(identity, zone="z0"), Shape(cells, 1, RULES.cold_time), BROKERS)
+
+
 def subset(entries: Sequence[ServerEntry], identity: str) -> list[ServerEntry]:
     """What `stepknot.subsets` chooses for the broker."""
-    shape = Shape(1 + max(entry.cell for entry in entries), 1, RULES.cold_time)
-    chooser = Subset(SubsetSettings(identity, zone="z0"), shape, BROKERS)
+    chooser = make_subset(1 + max(entry.cell for entry in entries), identity)
     chooser.take(ListReceived(ListKind.FULL, tuple(entries)))
     return [entry for event in chooser.finish(BEGAN) for entry in event.entries]
 
--- a/bench/scale_subset.py
+++ b/bench/scale_subset.py
@@ -10,9 +10,8 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import replace
 
-from scale_decide import BEGAN, Driver, make_entries, make_settings
+from scale_decide import BEGAN, Driver, make_entries, make_settings, make_subset
 from scale_report import (
-    BROKERS,
     NANOSECONDS,
     NODES,
     REPLICAS,
@@ -27,15 +26,8 @@
 )
 
 from stepknot.interface import ListKind, ListReceived, ServerEntry, ServerState
-from stepknot.subsets.model import Shape, SubsetSettings
 from stepknot.subsets.subset import Subset
 
-COLD_TIME = 10.0  # seconds
-
-
-def make_subset(shards: int, identity: str) -> Subset:
-    return Subset(SubsetSettings(identity, zone="z0"), Shape(shards, 1, COLD_TIME), BROKERS)
-
 
 def taken(entries: Sequence[ServerEntry], shards: int, identity: str) -> Subset:
     subset = make_subset(shards, identity)
