The cut-off owner's test waits until all voters that run granted the new owner

Seen: repeated alone beside other tests, 1 of 24 runs failed alike; its logs show the new owner at epoch 10, and 0.24 s later at 11, with no job_lost between. Ruled out: a lost lease (there is no such event), another owner (none in any log). It is ownership/owner.py, renew(): two claimed at once, a voter had promised the same epoch to the loser, and the owner claims once more above it, so that each voter counts; docs/ownership.md says so. The test took the epoch between. Its wait, steady(), asked for promises up to the owner's epoch, which the loser's equal one met.

Change: steady() asks that each voter that runs granted the owner's epoch. The test begins its four leases there, and asks more than before at their end: one job_lost in all brokers' logs, the first owner's.

--- a/tests/ownership/test_processes.py
+++ b/tests/ownership/test_processes.py
@@ -62,14 +62,17 @@
         return found[0]
 
     def steady(self) -> bool:
-        """One owner whose place no claim is about to take: a claim of before a link healed may still be granted."""
+        """One owner that every voter that runs granted its epoch: no claim of before can be granted any more. After two
+        claimed at once, one voter may have promised the owner's epoch to the other; the owner then claims once more."""
         owner = self.owner()
         if not owner:
             return False
-        voters = [self.owner_view(name)["voter"] for name in self.running()]
-        promised = [each["promised"]["drains"] for each in voters if each is not None]
+        voters = {name: self.owner_view(name)["voter"] for name in self.running() if name in VOTERS}
+        promised = [each["promised"]["drains"] for each in voters.values()]
         claiming = [name for name in self.running() if name != owner and self.job(name)["phase"] != "idle"]
-        return not claiming and max(promised) <= self.job(owner)["epoch"] and self.owner() == owner
+        held = self.job(owner)
+        granted = set(voters) <= set(held["granted_by"]) and max(promised) <= held["epoch"]
+        return granted and not claiming and self.owner() == owner
 
     def drains(self, name: str) -> dict[str, Any]:
         return self.owner_view(name)["drains"] or {"status": "none", "steps": 0, "out": []}
@@ -225,11 +228,14 @@
     else:
         brokers.links.cut([first], others)
     brokers.stopped.add(first)  # it cannot agree with the others now
+    brokers.until(lambda: brokers.steady() and brokers.owner() != first)
     second = brokers.wait_owner(but=first)
     epoch = brokers.job(second)["epoch"]
     brokers.until(lambda: not brokers.job(first)["here"])
     brokers.watch(4 * LEASE)  # it goes on trying, and does not make the job flap
     assert brokers.job(second)["here"] and brokers.job(second)["epoch"] == epoch
+    lost = {name: len(brokers.logged(name, b'"job_lost"')) for name in brokers.names}
+    assert lost == dict.fromkeys(brokers.names, 0) | {first: 1}
     brokers.stopped.discard(first)
     brokers.links.heal()
     brokers.agree()
