--- a/tests/admission/test_forwarded.py
+++ b/tests/admission/test_forwarded.py
@@ -9,6 +9,8 @@
 from stepknot.admission.addresses import Networks, packed, shown
 from stepknot.admission.forwarded import SIGNATURE, Malformed, client_of, read_proxy
 
+pytestmark = pytest.mark.cpu_only
+
 TRUSTED = Networks(["10.0.0.0/8"])
 
 
--- a/tests/lab/test_slopes.py
+++ b/tests/lab/test_slopes.py
@@ -8,6 +8,8 @@
 
 from stepknot.lab.slopes import Point, Series, Spread, fit, line, spread
 
+pytestmark = pytest.mark.cpu_only
+
 
 def test_a_spread_is_of_all_repeats_whatever_their_order() -> None:
     assert spread([5.0, 1.0, 9.0, 2.0]) == Spread(1.0, 3.5, 9.0, 4)
--- a/tests/lab/test_subset_cost.py
+++ b/tests/lab/test_subset_cost.py
@@ -7,6 +7,8 @@
 from stepknot.interface import ListKind, ListReceived, ServerState
 from stepknot.lab.subset_cost import BEGAN, SCENARIOS, Fleet, Variant, World, play
 
+pytestmark = pytest.mark.cpu_only
+
 SMALL = Fleet(brokers=6, shards=4, replicas=8, seconds=3.6)  # drained nodes are told of at 2.0 s and gone at 3.5 s
 WHOLE, SUBSET = Variant(0), Variant(3, near=8.0)
 
--- a/tests/lab/test_subset_model.py
+++ b/tests/lab/test_subset_model.py
@@ -9,6 +9,8 @@
 from stepknot.lab.subset_baselines import WAYS, rendezvous
 from stepknot.lab.subset_model import ONE_BACK, ONE_GOES, Fleet, cold_cell, measure, troubles, views
 
+pytestmark = pytest.mark.cpu_only
+
 NAMES = [f"n{number}" for number in range(62)]
 
 
--- a/tests/ownership/test_check.py
+++ b/tests/ownership/test_check.py
@@ -14,6 +14,8 @@
 from stepknot.ownership.owner import Owner, Phase
 from stepknot.ownership.voter import Voter, Way
 
+pytestmark = pytest.mark.cpu_only
+
 NO_TIME = Scope(claims=3, writes=2, crashes=2, losses=2)
 TIME = Scope(claims=3, writes=0, crashes=2, losses=1, time=9, lease=3, handovers=1)
 DYING = Scope(claims=2, writes=1, crashes=2, losses=0)
--- a/tests/ownership/test_model.py
+++ b/tests/ownership/test_model.py
@@ -7,6 +7,8 @@
 from stepknot.lab.ownership_model import Breach, Fleet, random_day
 from stepknot.ownership.voter import Voter
 
+pytestmark = pytest.mark.cpu_only
+
 
 @pytest.mark.parametrize("seed", range(1, 25))
 def test_a_random_day_breaks_nothing_and_ends_with_an_owner_for_each_job(seed: int) -> None:
--- a/tests/peers/test_decisions.py
+++ b/tests/peers/test_decisions.py
@@ -18,6 +18,8 @@
 from stepknot.peers.rings import Rings
 from stepknot.peers.table import Table, identity_of
 
+pytestmark = pytest.mark.cpu_only
+
 
 def record(name: str = "x", epoch: int = 5, birth: int = 1, incarnation: int = 0, state: State = State.ALIVE,
            port: int = 77) -> Record:
--- a/tests/peers/test_model.py
+++ b/tests/peers/test_model.py
@@ -12,6 +12,8 @@
 from stepknot.lab.peers_model import Model
 from stepknot.peers.model import Counts, PeerSettings, State
 
+pytestmark = pytest.mark.cpu_only
+
 SIZE = 20
 SETTINGS = PeerSettings()
 KNOWN = SETTINGS.dead_after + 1.0  # seconds in which a crash is known to all, without loss
--- a/tests/peers/test_search.py
+++ b/tests/peers/test_search.py
@@ -6,6 +6,8 @@
 
 from stepknot.lab.peers_search import Day, play
 
+pytestmark = pytest.mark.cpu_only
+
 # Newcomers counted fewer than ran: they had not been told of the dead, who lived on cut off.
 FOUND = (9, 20, 25, 26, 37)
 
--- a/tests/platform/test_frames.py
+++ b/tests/platform/test_frames.py
@@ -22,6 +22,8 @@
     read_load,
 )
 
+pytestmark = pytest.mark.cpu_only
+
 GOOD = frame(b"Y", b"9b1f.3 OK 1840277719 inflight=7,util=0.61\n5be2a07c")
 
 
--- a/tests/search/test_merge.py
+++ b/tests/search/test_merge.py
@@ -14,6 +14,8 @@
 from stepknot.search.merge import Target, merge, read_shard
 from stepknot.search.request import parse_search, shard_body
 
+pytestmark = pytest.mark.cpu_only
+
 FIELDS = {"n": "integer", "k": "keyword", "d": "date", "t": "text"}
 DOCUMENTS = st.lists(st.fixed_dictionaries({}, optional={
     "n": st.integers(-5, 40), "k": st.sampled_from("abcdefgh"), "d": st.integers(0, 10**11),
--- a/tests/search/test_routing.py
+++ b/tests/search/test_routing.py
@@ -6,6 +6,8 @@
 from stepknot.config.settings import default_routing_shards
 from stepknot.search.routing import shard_of
 
+pytestmark = pytest.mark.cpu_only
+
 
 @pytest.mark.parametrize(("text", "value"), [
     ("hell", 0x5A0CB7C3), ("hello", 0xD7C31989), ("hello w", 0x22AB2984), ("hello wo", 0xDF0CA123),
--- a/tests/subsets/test_choice.py
+++ b/tests/subsets/test_choice.py
@@ -22,6 +22,8 @@
     tier_of,
 )
 
+pytestmark = pytest.mark.cpu_only
+
 COUNTS = st.lists(st.integers(0, 9), min_size=1, max_size=5)
 
 
--- a/tests/subsets/test_cold.py
+++ b/tests/subsets/test_cold.py
@@ -14,6 +14,8 @@
 from stepknot.subsets.choice import draw
 from stepknot.subsets.cold import SPREAD, cold_share
 
+pytestmark = pytest.mark.cpu_only
+
 SPARE = 1 / COLD_USE  # of the budget: what the module leaves free of it
 
 
--- a/tests/subsets/test_subset.py
+++ b/tests/subsets/test_subset.py
@@ -18,6 +18,8 @@
 from stepknot.subsets.subset import TOLD_AT_ONCE
 from tests.subsets.following import CHANGES, COLD_TIME, DRAINING, FULL, GONE, LIVE, NOW, Follower, node
 
+pytestmark = pytest.mark.cpu_only
+
 CELLS = 4
 STARTS = st.sampled_from([0.0, 0.0, 0.0, NOW - 1.0, NOW - 5.0, NOW - 50.0])
 
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -8,6 +8,8 @@
 from stepknot.lab.cold import DEMANDS, play
 from tests.helpers import START, Driver, entry, make_settings
 
+pytestmark = pytest.mark.cpu_only
+
 
 @pytest.mark.parametrize("demand", DEMANDS)
 @pytest.mark.parametrize("instances", [1, 3, 20, 30, 200])
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -59,3 +59,24 @@
                 found += [f"{package}/{path.name} imports {name}" for name in names if name.partition(".")[0] in (
                     "time", "datetime", "os", "socket", "select", "threading", "subprocess", "pathlib", "secrets")]
     assert not found
+
+
+def test_tests_that_run_on_all_cores_at_once_see_no_clock_socket_or_process() -> None:
+    """Beside others they take longer; what they find must not depend on that."""
+    measured = ("time", "datetime", "socket", "select", "signal", "subprocess", "threading", "multiprocessing",
+                "resource", "tracemalloc", "http", "stepknot.net.loop", "stepknot.lab.fleet", "tests.processes",
+                "tests.platform.world")
+    marked, wrong = 0, []
+    for path in (ROOT.parent / "tests").rglob("test_*.py"):
+        text = path.read_text()
+        if "\npytestmark = pytest.mark.cpu_only\n" not in text:
+            continue
+        marked += 1
+        for node in ast.walk(ast.parse(text)):
+            names = [node.module or ""] if isinstance(node, ast.ImportFrom) else [
+                each.name for each in node.names] if isinstance(node, ast.Import) else []
+            wrong += [f"{path.name} imports {name}" for name in names if name.startswith(measured)]
+            if isinstance(node, ast.FunctionDef):
+                wrong += [f"{path.name}: {node.name} takes {each.arg}" for each in node.args.args
+                          if each.arg in ("tmp_path", "tmp_path_factory", "monkeypatch")]
+    assert marked >= 19 and not wrong
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -2,9 +2,13 @@
 
 from collections import Counter
 
+import pytest
+
 from stepknot.interface import Answer, Cancel, ListKind, Outcome, Refuse, Send, SetTimer, TimerDue, Watch
 from tests.helpers import FLEET, START, Driver, entry, make_settings
 
+pytestmark = pytest.mark.cpu_only
+
 
 def test_a_part_goes_to_the_replica_with_the_fewest_out() -> None:
     driver = Driver()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,6 +2,7 @@
 
 import math
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -18,6 +19,8 @@
 )
 from tests.helpers import FLEET, SLACK, Driver, entry, limits, make_settings, rules
 
+pytestmark = pytest.mark.cpu_only
+
 CLASS_NAMES = ["all", "some", "keyed", "unsafe", "steps", "need", "late"]
 ENDINGS = list(Outcome)
 
--- a/tests/zones/test_policy.py
+++ b/tests/zones/test_policy.py
@@ -16,6 +16,8 @@
 from stepknot.zones.policy import Zones
 from stepknot.zones.spill import BURST, LEAST_BURST
 
+pytestmark = pytest.mark.cpu_only
+
 COLD, SHARE, AIM = 8.0, 0.1, 1.0
 TICK = 0.05
 
