Questions about the silent leave room for repairs; a lost third no longer keeps all asking for good

Questions (ask) and word that nothing was heard (tell_of_silence) could borrow a quarter of the burst, news none, and repairs must leave a datagram: eight questions twice a second by each ate all. Ruled out: the mend of joins (the same without), the agreement of views before a death (no difference).

Change: a question leaves three datagrams (at most half the burst), word of silence borrows nothing. With fewer questions each must find more: others are asked in turn, twelve must have had nothing younger before one of many lost at once is dead, and whoever is asked pings whatever its rate is (kept-back pings made a way round look like a death).

--- a/stepknot/peers/members.py
+++ b/stepknot/peers/members.py
@@ -59,6 +59,10 @@
 KNOCK_MOST = 2.0  # seconds between two tries of a joining member at the most
 SYNC = 4  # periods between two questions about the table: one takes as much as half a second's rate
 ANSWERS, BEATS = 0.25, 1.0  # of the burst: what answers, and beats in their time, may take beyond what is saved
+# Datagrams that a question about the silent leaves: more than a repair, which leaves one and is one. It is repairs that
+# end a storm; where questions came first, a third lost at once kept all members asking for good.
+QUESTION_LEAVES = 3
+BREADTH = 3  # times `helpers`: others that must have had nothing younger before one of many lost at once is held dead
 SPREAD_PAUSE = 0.05  # seconds between two rounds of news: what comes in a storm goes on together
 FAREWELLS = 3  # rounds in which a leave is told
 CALL_AGAIN = 5  # periods between two calls to one of the dead, or a seed that is not here
@@ -81,6 +85,7 @@
         self.rate = Rate(settings.rate, settings.burst)
         # What can wait leaves one datagram, and on the whole no more: after a storm it is repairs that end it.
         self.bulk = -wire.MOST_BYTES / settings.burst
+        self.question = max(QUESTION_LEAVES * self.bulk, -0.5)  # of a small burst half
         self.counters: Counter[str] = Counter()
         self.joined = self.rewire_due = self.stepped_aside = False
         self.ticked = self.woken_until = -math.inf
@@ -294,10 +299,10 @@
         ago = now - watched.heard if watched is not None else math.inf
         return wire.Sign(name, *record.process, int(ago * 1000) if ago < LONG_AGO else -1)
 
-    def tell(self, now: float, asker: str, signs: list[wire.Sign]) -> None:
+    def tell(self, now: float, asker: str, signs: list[wire.Sign], borrow: float = ANSWERS) -> None:
         record = self.table.records.get(asker)
         if record is not None and signs:
-            self.emit(now, record.address, wire.Tell(signs), ANSWERS)
+            self.emit(now, record.address, wire.Tell(signs), borrow)
 
     def send_records(self, now: float, address: Address, records: list[Record], borrow: float = 0.0,
                      whole: bool = False) -> None:
@@ -349,13 +354,13 @@
         self.tell(now, sender.name, fresh)
         for sign in signs:
             if sign not in fresh and self.errands.take(now, sender.name, sign.name):
-                self.beat(now, sign.name, reply=True, borrow=0.0)
+                self.beat(now, sign.name, reply=True)  # its silence says something only if it was asked
 
     def tell_of_silence(self, now: float) -> None:
         """Those that were pinged for others and did not answer in time."""
         for asker, names in self.errands.expired(now).items():
             known = [name for name in names if name in self.table.records]
-            self.tell(now, asker, [self.sign_of(now, name) for name in known[:wire.ASKED]])
+            self.tell(now, asker, [self.sign_of(now, name) for name in known[:wire.ASKED]], borrow=0.0)
 
     def on_tell(self, now: float, sender: Record, told: wire.Tell) -> None:
         for sign in told.signs:
@@ -451,7 +456,7 @@
         elif now - self.table.why[name][0] < settings.suspect_after:
             return  # it must hear of the suspicion, and have time to prove itself, however long it was silent here
         elif silent > settings.dead_after and self.awake(now) and self.confirmed(now, watched, others) and (
-                not self.isolated and self.agrees(now, silent)):
+                not self.isolated and self.agrees(now, silent) and self.widely_confirmed(now, watched, others)):
             self.condemn(now, record, State.DEAD, silent)
             self.consider_isolation(now)  # the one that went may be the one too many
 
@@ -487,9 +492,16 @@
         asked = dict.fromkeys(name for name in others if name in tellers)
         asked |= dict.fromkeys(self.watchers_of(names, others)[:count // 2])
         asked |= dict.fromkeys(self.random.sample(heard, min(len(heard), count // 2)))
-        asked |= dict.fromkeys(self.random.sample(others, min(len(others), count)))
+        asked |= dict.fromkeys(self.not_asked_lately(names, others)[:count])
         for name in list(asked)[:2 * count]:
-            self.emit(now, self.table.records[name].address, wire.Ask(names), ANSWERS)
+            self.emit(now, self.table.records[name].address, wire.Ask(names), self.question)
+
+    def not_asked_lately(self, names: list[str], others: list[str]) -> list[str]:
+        """All others at random, those first that said nothing of these, or longest ago: whoever has a way to them is
+        found within few rounds."""
+        found = self.random.sample(others, len(others))
+        found.sort(key=lambda other: max(self.watched[name].told.get(other, -math.inf) for name in names))
+        return found
 
     def watchers_of(self, names: list[str], others: list[str]) -> list[str]:
         """Some of those that watch the silent ones: if anybody has a younger sign of life, it is they."""
@@ -503,8 +515,15 @@
 
     def confirmed(self, now: float, watched: Watched, others: list[str]) -> bool:
         """Whether enough others had nothing younger; where all others are silent too, there is nobody to ask."""
-        watched.forget_told(now - self.settings.suspect_after)
-        return len(watched.told) >= min(self.settings.proofs, len(others))
+        watched.forget_told(now - self.settings.dead_after)
+        lately = sum(at >= now - self.settings.suspect_after for at in watched.told.values())
+        return lately >= min(self.settings.proofs, len(others))
+
+    def widely_confirmed(self, now: float, watched: Watched, others: list[str]) -> bool:
+        """Where many are lost it may be a cut that few can see past: before a death more are to be heard, though not
+        all of them just now."""
+        wanted = BREADTH * self.settings.helpers if self.many_lost(now) else 0
+        return len(watched.told) >= min(wanted, len(others))
 
     def consider_isolation(self, now: float) -> None:
         why = self.find_isolation(now)
@@ -538,10 +557,13 @@
             self.table.why[name][0] > since for name in self.table.gone
             if self.table.records[name].state is State.DEAD)
 
+    def many_lost(self, now: float) -> bool:
+        return self.lost(now) > max(1.0, MANY * len(self.table.here))
+
     def agrees(self, now: float, silent: float) -> bool:
         """The more are lost at once the more it looks like a cut. Word of all of them must have come in before anybody
         is held dead: it takes twice as long, and until most neighbours' views are the same as this one."""
-        if self.lost(now) <= max(1.0, MANY * len(self.table.here)):
+        if not self.many_lost(now):
             return True
         heard = [each for each in self.watched.values() if now - each.heard <= self.settings.suspect_after]
         alike = sum(each.differs_since == math.inf for each in heard)
--- a/tests/peers/test_decisions.py
+++ b/tests/peers/test_decisions.py
@@ -446,3 +446,106 @@
         if asked:
             break
     assert len(asked & watchers) >= found.settings.helpers // 2
+
+
+def sent_kinds(found: Members) -> set[type]:
+    return {type(wire.decode(data, "stepknot").message) for _, data in found.take()[0]}
+
+
+def test_where_little_is_left_of_the_rate_repairs_go_and_questions_wait() -> None:
+    """One of 30 is silent, and all views differ from this one."""
+    found, names = member(), [f"m{number}" for number in range(30)]
+    for name in names:
+        found.receive(0.1, beat(record(name)))
+    found.tick(0.2)
+    silent = next(iter(found.watched))
+
+    def go_on(since: float, until: float, left: float) -> set[type]:
+        kinds: set[type] = set()
+        for step in range(int(since * 10), int(until * 10)):
+            for name in names:
+                if name != silent:
+                    found.receive(step / 10, beat(record(name)))
+            found.rate.saved = left
+            found.tick(step / 10)
+            kinds |= sent_kinds(found)
+        return kinds
+
+    little = go_on(0.3, 6.0, left=2.2 * wire.MOST_BYTES)
+    assert wire.Sync in little and wire.Ask not in little
+    assert wire.Ask in go_on(6.0, 8.0, left=found.settings.burst)
+
+
+def asked_about_a_silent_one(when_asked: float, when_told: float) -> tuple[Members, set[type], set[type]]:
+    """What a member with so much left of its rate sends when it is asked, and a period later."""
+    found = member()
+    found.receive(0.1, beat(record("y")))
+    found.receive(0.1, beat(record("z")))
+    for step in range(2, 30):
+        found.tick(step / 10)
+    found.take()
+    found.rate.saved, found.rate.at = when_asked, 3.0
+    found.receive(3.0, datagram(record("y"), wire.Ask(["z"])))
+    asked = sent_kinds(found)
+    found.rate.saved, found.rate.at = when_told, 3.0 + found.settings.period
+    found.tell_of_silence(3.0 + found.settings.period)
+    return found, asked, sent_kinds(found)
+
+
+def test_word_that_nothing_was_heard_borrows_nothing() -> None:
+    burst = PeerSettings().burst
+    assert asked_about_a_silent_one(burst, burst)[1:] == ({wire.Beat}, {wire.Tell})
+    assert asked_about_a_silent_one(burst, 0.0)[1:] == ({wire.Beat}, set())
+
+
+def test_whoever_is_asked_pings_the_silent_one_also_with_nothing_saved() -> None:
+    """The one member that hears it is asked by all: a ping that is kept back makes a way round look like a death."""
+    assert asked_about_a_silent_one(0.0, 0.0)[1] == {wire.Beat}
+
+
+def test_others_are_asked_in_turn_so_that_none_is_left_out_for_long() -> None:
+    """Of 40 others, 4 a round at random would leave some out for dozens of rounds; one of them may be the way round."""
+    found, names = member(), [f"m{number}" for number in range(40)]
+    for number, name in enumerate(names):
+        found.receive(0.1, beat(record(name, port=1000 + number)))
+    found.tick(0.2)
+    silent = next(iter(found.watched))
+    asked: set[str] = set()
+    for step in range(3, 120):
+        for number, name in enumerate(names):
+            if name != silent:
+                found.receive(step / 10, datagram(record(name, port=1000 + number), wire.Beat(0, found.table.digest)))
+        found.tick(step / 10)
+        for address, data in found.take()[0]:
+            if isinstance(wire.decode(data, "stepknot").message, wire.Ask):
+                sign = wire.Sign(silent, *record(silent).process, -1)
+                sender = record(names[address[1] - 1000], port=address[1])
+                found.receive(step / 10, datagram(sender, wire.Tell([sign])))
+                asked.add(sender.name)
+        found.rate.saved = found.settings.burst
+        if found.table.records[silent].state is State.DEAD:
+            break
+    assert len(asked) >= 28  # of 39, in the rounds until it is dead
+
+
+@pytest.mark.parametrize("tellers", [3, 11, 12])
+def test_where_many_are_lost_at_once_more_others_must_have_heard_nothing(tellers: int) -> None:
+    found = member()
+    lost, left = [f"x{number}" for number in range(6)], [f"y{number}" for number in range(14)]
+    for name in lost + left:
+        found.receive(0.1, beat(record(name)))
+    suspects = wire.News([record(name, state=State.SUSPECT) for name in lost])
+    for step in range(2, 260):
+        now = step / 10
+        if step == 40:
+            found.receive(now, datagram(record(left[0]), suspects))
+        for number, name in enumerate(left):
+            found.receive(now, datagram(record(name), wire.Beat(0, found.table.digest)))
+            if number < tellers:
+                signs = [wire.Sign(each, *record(each).process, -1) for each in lost]
+                found.receive(now, datagram(record(name), wire.Tell(signs)))
+        found.tick(now)
+    watched = [name for name in lost if name in found.watched or found.table.records[name].state is State.DEAD]
+    states = {found.table.records[name].state for name in watched}
+    assert states == {State.DEAD if tellers >= 12 else State.SUSPECT}
+    assert not found.isolated
--- a/tests/peers/test_model.py
+++ b/tests/peers/test_model.py
@@ -344,3 +344,15 @@
     begun = model.now
     assert any(model.settled() for _ in model.steps(begun + 30.0)), Counter(
         each.member.own.state for each in model.up())
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_third_lost_at_once_is_known_to_all_also_where_little_may_be_sent(seed: int) -> None:
+    """Questions about the lost, and answers, took all that the others may send: nothing was left for word of the deaths
+    and for repairs, and so the questions went on for good."""
+    model = ready(40, seed, PeerSettings(rate=1200.0, burst=9600.0))
+    lost, at = set(list(model.processes)[1::3]), model.now
+    for name in lost:
+        model.kill(name)
+    assert settle(model, 40.0) is not None
+    assert deaths(model, at) == lost
