--- a/stepknot/peers/members.py
+++ b/stepknot/peers/members.py
@@ -35,6 +35,7 @@
 from stepknot.peers import wire
 from stepknot.peers.errands import Errands
 from stepknot.peers.gossip import News
+from stepknot.peers.losses import many_lost, views_alike, why_isolated
 from stepknot.peers.model import (
     GONE,
     MOST_EPOCH,
@@ -46,6 +47,7 @@
     Record,
     State,
 )
+from stepknot.peers.questions import Questions, confirmed, widely_confirmed
 from stepknot.peers.rate import Rate
 from stepknot.peers.rings import Rings
 from stepknot.peers.table import Table
@@ -54,15 +56,12 @@
 Address = tuple[str, int]
 LONG_AGO = 2**20  # seconds: what is longer ago was never
 SUSPECTS_BEAT = 4  # periods between two beats to a suspect
-MANY = 0.25  # of the members
-LATELY = 4.0  # times as long as a death takes: members that died since then count as lost together
 KNOCK_MOST = 2.0  # seconds between two tries of a joining member at the most
 SYNC = 4  # periods between two questions about the table: one takes as much as half a second's rate
 ANSWERS, BEATS = 0.25, 1.0  # of the burst: what answers, and beats in their time, may take beyond what is saved
 # Datagrams that a question about the silent leaves: more than a repair, which leaves one and is one. It is repairs that
 # end a storm; where questions came first, a third lost at once kept all members asking for good.
 QUESTION_LEAVES = 3
-BREADTH = 3  # times `helpers`: others that must have had nothing younger before one of many lost at once is held dead
 SPREAD_PAUSE = 0.05  # seconds between two rounds of news: what comes in a storm goes on together
 FAREWELLS = 3  # rounds in which a leave is told
 CALL_AGAIN = 5  # periods between two calls to one of the dead, or a seed that is not here
@@ -77,6 +76,7 @@
         self.own = msgspec.structs.replace(own, state=State.JOINING)
         self.table = Table(settings.most, settings.tombstone)
         self.rings = Rings(settings.rings)
+        self.questions = Questions(settings, self.table, self.rings, self.random)
         self.watched: dict[str, Watched] = {}
         self.neighbours: dict[str, None] = {}  # those watched that are not suspect
         self.out: list[tuple[Address, bytes]] = []
@@ -451,12 +451,12 @@
         settings, watched, record = self.settings, self.watched[name], self.table.records[name]
         silent = watched.silent(now)
         if record.state is not State.SUSPECT:
-            if silent > settings.suspect_after and self.awake(now) and self.confirmed(now, watched, others):
+            if silent > settings.suspect_after and self.awake(now) and confirmed(watched, settings, len(others), now):
                 self.condemn(now, record, State.SUSPECT, silent)
         elif now - self.table.why[name][0] < settings.suspect_after:
             return  # it must hear of the suspicion, and have time to prove itself, however long it was silent here
-        elif silent > settings.dead_after and self.awake(now) and self.confirmed(now, watched, others) and (
-                not self.isolated and self.agrees(now, silent) and self.widely_confirmed(now, watched, others)):
+        elif silent > settings.dead_after and self.awake(now) and confirmed(watched, settings, len(others), now) and (
+                not self.isolated and self.agrees(now, watched, len(others))):
             self.condemn(now, record, State.DEAD, silent)
             self.consider_isolation(now)  # the one that went may be the one too many
 
@@ -486,47 +486,13 @@
             self.watched[name].ask_at = now + 2 * self.settings.period
             if name in self.neighbours:
                 self.beat(now, name, reply=True)
-        count, others = self.settings.helpers, self.others()
-        heard = [name for name in others if name in self.watched]
-        tellers = dict.fromkeys(self.watched[name].teller for name in names)
-        asked = dict.fromkeys(name for name in others if name in tellers)
-        asked |= dict.fromkeys(self.watchers_of(names, others)[:count // 2])
-        asked |= dict.fromkeys(self.random.sample(heard, min(len(heard), count // 2)))
-        asked |= dict.fromkeys(self.not_asked_lately(names, others)[:count])
-        for name in list(asked)[:2 * count]:
+        for name in self.questions.helpers_for(names, self.others(), self.watched):
             self.emit(now, self.table.records[name].address, wire.Ask(names), self.question)
 
-    def not_asked_lately(self, names: list[str], others: list[str]) -> list[str]:
-        """All others at random, those first that said nothing of these, or longest ago: whoever has a way to them is
-        found within few rounds."""
-        found = self.random.sample(others, len(others))
-        found.sort(key=lambda other: max(self.watched[name].told.get(other, -math.inf) for name in names))
-        return found
-
-    def watchers_of(self, names: list[str], others: list[str]) -> list[str]:
-        """Some of those that watch the silent ones: if anybody has a younger sign of life, it is they."""
-        here, free = self.table.here, set(others)
-        found = []
-        for name in names:
-            nearest, _ = self.rings.around(name, lambda each: here[each].state is State.SUSPECT)
-            able = [each for each in nearest if each in free]
-            found += self.random.sample(able, min(len(able), self.settings.helpers // 2))
-        return found
-
-    def confirmed(self, now: float, watched: Watched, others: list[str]) -> bool:
-        """Whether enough others had nothing younger; where all others are silent too, there is nobody to ask."""
-        watched.forget_told(now - self.settings.dead_after)
-        lately = sum(at >= now - self.settings.suspect_after for at in watched.told.values())
-        return lately >= min(self.settings.proofs, len(others))
-
-    def widely_confirmed(self, now: float, watched: Watched, others: list[str]) -> bool:
-        """Where many are lost it may be a cut that few can see past: before a death more are to be heard, though not
-        all of them just now."""
-        wanted = BREADTH * self.settings.helpers if self.many_lost(now) else 0
-        return len(watched.told) >= min(wanted, len(others))
-
     def consider_isolation(self, now: float) -> None:
-        why = self.find_isolation(now)
+        why = "no seed has let it in"
+        if self.joined:
+            why = why_isolated(self.table, self.watched.values(), self.settings, now)
         if not why:
             if self.isolated:  # what was silent meanwhile gets its time anew
                 for watched in self.watched.values():
@@ -536,38 +502,15 @@
             self.isolated_since, self.isolated_why = now, why
             self.counters["isolated"] += 1
 
-    def find_isolation(self, now: float) -> str:
-        after, counts = self.settings.suspect_after, self.table.counts
-        if not self.joined:
-            return "no seed has let it in"
-        edges = [each for each in self.watched.values() if now - each.since > after]
-        heard = sum(now - each.heard <= after for each in edges)
-        hear_me = sum(now - each.hears_me <= after + self.settings.period for each in edges)
-        if edges and 2 * (hear_me + 1) <= len(edges) + 1:  # who is not heard here cannot say that it hears me either
-            return f"of {len(edges)} neighbours {heard} are heard, and {hear_me} hear it"
-        here, lost = counts[State.ALIVE] + counts[State.JOINING], self.lost(now)
-        if lost and here <= lost:
-            return f"{lost} of {here + lost} members are suspect or died lately"
-        return ""
-
-    def lost(self, now: float) -> int:
-        """Members that are suspect, or died so lately that it may be one loss: of half it is not for us to judge."""
-        since = now - LATELY * self.settings.dead_after
-        return self.table.counts[State.SUSPECT] + sum(
-            self.table.why[name][0] > since for name in self.table.gone
-            if self.table.records[name].state is State.DEAD)
-
-    def many_lost(self, now: float) -> bool:
-        return self.lost(now) > max(1.0, MANY * len(self.table.here))
-
-    def agrees(self, now: float, silent: float) -> bool:
+    def agrees(self, now: float, watched: Watched, others: int) -> bool:
         """The more are lost at once the more it looks like a cut. Word of all of them must have come in before anybody
-        is held dead: it takes twice as long, and until most neighbours' views are the same as this one."""
-        if not self.many_lost(now):
+        is held dead: it takes twice as long, until most neighbours' views are the same as this one, and more of the
+        others' word."""
+        settings = self.settings
+        if not many_lost(self.table, settings, now):
             return True
-        heard = [each for each in self.watched.values() if now - each.heard <= self.settings.suspect_after]
-        alike = sum(each.differs_since == math.inf for each in heard)
-        return silent > 2 * self.settings.dead_after and 2 * alike > len(heard)
+        return (watched.silent(now) > 2 * settings.dead_after and widely_confirmed(watched, settings, others)
+                and views_alike(self.watched.values(), now - settings.suspect_after))
 
     @property
     def isolated(self) -> bool:
