On reading again: one number(), one asker of a broker, who told gathered once

On reading the change again. bench/capacity.py and bench/scale.py each had the same number(); it stands in scale_report.py. stepknot peers and subset asked an admin socket by the same lines: answer_of. Nodes in use were listed by two like loops: Index.in_use. Whom membership asks next was sorted by looking up each other member under each silent name, on the loop, each period; who told is gathered once now. question_borrow tells the borrow from the Questions.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -16,6 +16,7 @@
 
 import click
 import msgspec
+from scale_report import number
 
 BEGIN, END = "<!-- table: python bench/capacity.py docs/scale.json -->", "<!-- end of table -->"
 GREATEST = 1000.0  # multiples that are searched
@@ -115,12 +116,6 @@
     return low
 
 
-def number(value: float) -> str:
-    if abs(value) >= 1000:
-        return f"{value:,.0f}"
-    return f"{value:.3g}"
-
-
 def source(scale: Scale, name: str, x: float) -> str:
     line = scale.line(name)
     beyond = f", x{x / line.high:.2g} beyond" if x > line.high * 1.01 else ""
--- a/bench/scale.py
+++ b/bench/scale.py
@@ -28,7 +28,7 @@
 import scale_owners
 import scale_readers
 import scale_subset
-from scale_report import BROKERS, NODES, QUERIES, REPLICAS, SHARDS, Effort, Finding, Note
+from scale_report import BROKERS, NODES, QUERIES, REPLICAS, SHARDS, Effort, Finding, Note, number
 
 from stepknot.lab.slopes import Figure, Series, Spread
 
@@ -44,10 +44,6 @@
 COLUMNS = 4  # panels in a row
 
 
-def number(value: float) -> str:
-    return f"{value:,.0f}" if abs(value) >= 1000 else f"{value:.3g}"
-
-
 def spread_text(spread: Spread) -> str:
     return f"{number(spread.median)} ({number(spread.low)} .. {number(spread.high)}, {spread.repeats})"
 
--- a/bench/scale_report.py
+++ b/bench/scale_report.py
@@ -76,6 +76,11 @@
         return [Figure(*key, spread(values)) for key, values in self.values.items()]
 
 
+def number(value: float) -> str:
+    """As the tables have it."""
+    return f"{value:,.0f}" if abs(value) >= 1000 else f"{value:.3g}"
+
+
 def seconds_of(what: Callable[[], object]) -> float:
     """Processor time."""
     gc.collect()
--- a/bench/scale_subset.py
+++ b/bench/scale_subset.py
@@ -81,7 +81,7 @@
     for seed in effort.seeds:
         def both(seed: int = seed) -> tuple[Subset, Driver]:
             subset = taken(entries, shards, f"broker-{seed}")
-            held = [entry for cell in subset.index.cells.values() for entry in cell.held.values()]
+            held = list(subset.index.in_use())
             return subset, Driver(make_settings(shards), held, seed)
 
         size, _ = bytes_of(both)
--- a/stepknot/broker/subsetting.py
+++ b/stepknot/broker/subsetting.py
@@ -191,9 +191,6 @@
 
     # --- operators
 
-    def held(self) -> Iterable[ServerEntry]:
-        return (entry for cell in self.subset.index.cells.values() for entry in cell.held.values())
-
     def state(self, entry: ServerEntry, now: float) -> str:
         if entry.state is ServerState.DRAINING:
             return "draining"
@@ -251,7 +248,7 @@
 
     def measures(self) -> list[Metric]:
         subset, now, quotas = self.subset, self.loop.clock(), self.quotas()
-        states = Counter(self.state(entry, now) for entry in self.held())
+        states = Counter(self.state(entry, now) for entry in subset.index.in_use())
         held = GaugeMetricFamily("stepknot_subset_held", "Nodes in use, by state", labels=["state"])
         for state in ("warm", "cold", "draining"):
             held.add_metric([state], states[state])
--- a/stepknot/cli/main.py
+++ b/stepknot/cli/main.py
@@ -250,14 +250,10 @@
 
     import orjson
 
-    from stepknot.cli.admin import ask, peer_story, peers_table
+    from stepknot.cli.admin import peer_story, peers_table
 
     while True:
-        try:
-            found = ask(admin, "/peers")
-        except OSError as error:
-            click.echo(f"error: {admin[0]}:{admin[1]}: {error}", err=True)
-            raise SystemExit(2) from None
+        found = answer_of(admin, "/peers")
         text = peers_table(found)
         if why is not None:
             story = peer_story(found, why)
@@ -295,15 +291,11 @@
 
     import orjson
 
-    from stepknot.cli.admin import ask, subset_story, subset_table
+    from stepknot.cli.admin import subset_story, subset_table
 
     path = "/subset" + (f"?why={quote(why)}" if why is not None else "?held=1" if as_json else "")
     while True:
-        try:
-            found = ask(admin, path)
-        except OSError as error:
-            click.echo(f"error: {admin[0]}:{admin[1]}: {error}", err=True)
-            raise SystemExit(2) from None
+        found = answer_of(admin, path)
         text = subset_story(found) if found.get("why") else subset_table(found)
         click.echo(orjson.dumps(found) if as_json else text)
         if not watch:
@@ -610,6 +602,17 @@
     raise SystemExit(1 if any(each.broken for each in reports) else 0)
 
 
+def answer_of(admin: tuple[str, int], path: str) -> dict[str, Any]:
+    """What a broker's admin socket says; where nothing answers, the reason on standard error and exit code 2."""
+    from stepknot.cli.admin import ask
+
+    try:
+        return ask(admin, path)
+    except OSError as error:
+        click.echo(f"error: {admin[0]}:{admin[1]}: {error}", err=True)
+        raise SystemExit(2) from None
+
+
 def progress() -> Callable[[str], None]:
     """Words about long work, on standard error."""
     return lambda text: click.echo(text, err=True)
--- a/stepknot/peers/members.py
+++ b/stepknot/peers/members.py
@@ -85,7 +85,7 @@
         self.rate = Rate(settings.rate, settings.burst)
         # What can wait leaves one datagram, and on the whole no more: after a storm it is repairs that end it.
         self.bulk = -wire.MOST_BYTES / settings.burst
-        self.question = max(QUESTION_LEAVES * self.bulk, -0.5)  # of a small burst half
+        self.question_borrow = max(QUESTION_LEAVES * self.bulk, -0.5)  # of a small burst half
         self.counters: Counter[str] = Counter()
         self.joined = self.rewire_due = self.stepped_aside = False
         self.ticked = self.woken_until = -math.inf
@@ -487,7 +487,7 @@
             if name in self.neighbours:
                 self.beat(now, name, reply=True)
         for name in self.questions.helpers_for(names, self.others(), self.watched):
-            self.emit(now, self.table.records[name].address, wire.Ask(names), self.question)
+            self.emit(now, self.table.records[name].address, wire.Ask(names), self.question_borrow)
 
     def consider_isolation(self, now: float) -> None:
         why = "no seed has let it in"
--- a/stepknot/peers/questions.py
+++ b/stepknot/peers/questions.py
@@ -46,8 +46,12 @@
     def in_turn(self, names: list[str], others: list[str], watched: Mapping[str, Watched]) -> list[str]:
         """All others at random, those first that said nothing of these, or longest ago: whoever has a way to them is
         found within few rounds."""
+        told_at: dict[str, float] = {}
+        for name in names:
+            for other, at in watched[name].told.items():
+                told_at[other] = max(told_at.get(other, -math.inf), at)
         found = self.random.sample(others, len(others))
-        found.sort(key=lambda other: max(watched[name].told.get(other, -math.inf) for name in names))
+        found.sort(key=lambda other: told_at.get(other, -math.inf))
         return found
 
 
--- a/stepknot/subsets/index.py
+++ b/stepknot/subsets/index.py
@@ -7,6 +7,7 @@
 
 from array import array
 from bisect import bisect_left
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from stepknot.interface import ServerEntry, ServerState
@@ -84,6 +85,10 @@
         cell = self.cells.get(number)
         return cell.live if cell is not None else 0
 
+    def in_use(self) -> Iterator[ServerEntry]:
+        """All nodes that were told to the module."""
+        return (entry for cell in self.cells.values() for entry in cell.held.values())
+
     def held(self, server: str) -> ServerEntry | None:
         """As it was told, if its cell uses it."""
         entry = self.where.get(server)
--- a/tests/peers/test_decisions.py
+++ b/tests/peers/test_decisions.py
@@ -478,7 +478,7 @@
     assert wire.Ask in go_on(6.0, 8.0, left=found.settings.burst)
 
 
-def asked_about_a_silent_one(when_asked: float, when_told: float) -> tuple[Members, set[type], set[type]]:
+def asked_about_a_silent_one(when_asked: float, when_told: float) -> tuple[set[type], set[type]]:
     """What a member with so much left of its rate sends when it is asked, and a period later."""
     found = member()
     found.receive(0.1, beat(record("y")))
@@ -491,18 +491,18 @@
     asked = sent_kinds(found)
     found.rate.saved, found.rate.at = when_told, 3.0 + found.settings.period
     found.tell_of_silence(3.0 + found.settings.period)
-    return found, asked, sent_kinds(found)
+    return asked, sent_kinds(found)
 
 
 def test_word_that_nothing_was_heard_borrows_nothing() -> None:
     burst = PeerSettings().burst
-    assert asked_about_a_silent_one(burst, burst)[1:] == ({wire.Beat}, {wire.Tell})
-    assert asked_about_a_silent_one(burst, 0.0)[1:] == ({wire.Beat}, set())
+    assert asked_about_a_silent_one(burst, burst) == ({wire.Beat}, {wire.Tell})
+    assert asked_about_a_silent_one(burst, 0.0) == ({wire.Beat}, set())
 
 
 def test_whoever_is_asked_pings_the_silent_one_also_with_nothing_saved() -> None:
     """The one member that hears it is asked by all: a ping that is kept back makes a way round look like a death."""
-    assert asked_about_a_silent_one(0.0, 0.0)[1] == {wire.Beat}
+    assert asked_about_a_silent_one(0.0, 0.0)[0] == {wire.Beat}
 
 
 def test_others_are_asked_in_turn_so_that_none_is_left_out_for_long() -> None:
