--- a/review/standins.py
+++ b/review/standins.py
@@ -158,6 +158,12 @@
             self.record.write("node-answered", node=self.name, part=attempt.part)
 
 
+async def wait_for_end(reader: asyncio.StreamReader) -> None:
+    """Return once the peer ended its side or reset the connection."""
+    with contextlib.suppress(OSError):
+        await reader.read(1)
+
+
 def encode_frame(letter: bytes, rest: bytes) -> bytes:
     """A frame of the nodes' protocol."""
     return (len(rest) + 1).to_bytes(HEADER, "little") + letter + rest
@@ -216,7 +222,7 @@
             head = (await reader.readuntil(b"\r\n\r\n")).decode()
             target = head.split(" ")[1]
             self.record.write("discovery-call", target=target)
-            gone = asyncio.create_task(reader.read(1))
+            gone = asyncio.create_task(wait_for_end(reader))
             if self.delay:
                 await asyncio.wait([gone], timeout=self.delay)
             if gone.done():
@@ -227,7 +233,7 @@
         writer.close()
 
     async def _answer(
-        self, target: str, writer: asyncio.StreamWriter, gone: asyncio.Task[bytes]
+        self, target: str, writer: asyncio.StreamWriter, gone: asyncio.Task[None]
     ) -> None:
         if "follow=1" not in target:
             body = json.dumps(self.full_list()).encode()
