--- a/review/1/case.py
+++ b/review/1/case.py
@@ -20,7 +20,8 @@
 LATE_NODES = 2  # of six: a third of the connections come up late
 DOOR_CLOSED = 0.45  # seconds; the kernel tries again 1 s after it began to connect
 ROUNDS = 8
-REQUESTS = 3  # of a round, to each shard of a late node
+REQUESTS = 4  # of a round, to each shard of a late node
+GAP = 0.01  # seconds between two of them
 WARM_UP = 2.0  # seconds of usual traffic before each round
 INTERVAL = 0.04  # seconds between two requests of the usual traffic
 MAX_DUMMIES = 8
@@ -153,7 +154,10 @@
         record.write("trouble-begins")
     await asyncio.sleep(0.1)
     shards = [node.cell for node in late] * REQUESTS
-    asked = [asyncio.create_task(ask(record, broker, (shard,))) for shard in shards]
+    asked = []
+    for shard in shards:
+        asked.append(asyncio.create_task(ask(record, broker, (shard,))))
+        await asyncio.sleep(GAP)
     await asyncio.sleep(DOOR_CLOSED)
     if s.has_trouble():
         for node in late:
