review: the gravest three as cases 1 to 3, other shown faults under review/more

Change: the crash is case 1, the endless head line case 2, the second copy of a rejection case 3; the late restart, the late connection and the slow discovery move to review/more with their scripts.

--- a/review/4/bad_clients.py
+++ b/review/2/bad_clients.py
@@ -13,6 +13,7 @@
 
 
 def main(port: int, count: int, seconds: float) -> None:
+    """Connect all, then send and read until each has ended."""
     begun = time.monotonic()
     poll = selectors.DefaultSelector()
     sent: dict[socket.socket, int] = {}
@@ -42,7 +43,11 @@
 
 
 def finish(poll, sock, how: str, size: int, begun: float) -> None:
-    print(f"bad client: {how}, {time.monotonic() - begun:.2f} s after connecting, {size} bytes sent", flush=True)
+    """Report how it ended, and close it."""
+    print(
+        f"bad client: {how}, {time.monotonic() - begun:.2f} s after connecting, {size} bytes sent",
+        flush=True,
+    )
     poll.unregister(sock)
     sock.close()
 
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,78 +1,61 @@
-"""Case 2: a client that dies in the middle of its requests ends the broker's process."""
-
-from __future__ import annotations
+"""Usual clients ask while a few bad clients send heads that never end."""
 
 import asyncio
+import subprocess
 import sys
+import time
 from pathlib import Path
 
-import standins as s
+import lab as laboratory
+
+HERE = Path(__file__).resolve().parent
 
-FOLDER = Path(__file__).resolve().parent
-DEADLINE = 2.5  # seconds that a client waits
-INTERVAL = 0.05  # seconds between two requests of the usual clients
-ROUNDS = 20  # client processes that die, one after the other
-CONNECTIONS = 100  # of each of them: under a third of the broker's 512 descriptors
-QUIET_TIME = 10.0  # seconds of the run without the disruption
+USUAL, BAD = 8, 12  # clients
+REMAINING = 2.0  # seconds that a usual client waits for its answer
+QUIET, SECONDS, BAD_SECONDS = 3.0, 18.0, 10.0
 
 
-async def play(record: s.Record, temporary: Path) -> list[str]:
-    """Serve usual clients while client processes die; returns whether the broker ended by itself."""
-    nodes = [s.Node(f"s-{number}", number % 2, record) for number in range(4)]
-    for node in nodes:
-        await node.start()
-    discovery = s.Discovery(record, nodes)
+async def case(lab):
+    """Returns whether every usual request got its final answer."""
+    await lab.make_nodes(3)
+    discovery = laboratory.Discovery(lab, lab.nodes)
     await discovery.start()
-    lanes = [s.make_lane("history", "idempotent", 1.2, DEADLINE)]
-    broker = s.Broker(record, s.make_config(nodes, discovery, lanes), temporary)
+    broker = lab.make_broker(discovery.port, discovery.snapshot())
     await broker.start()
-    usual = asyncio.create_task(ask_all(record, broker))
-    try:
-        if s.has_trouble():
-            await play_bad_clients(record, broker)
-        else:
-            await asyncio.sleep(QUIET_TIME)
-        code = broker.process.returncode
-    finally:
-        usual.cancel()
-        await broker.end()
-    return [] if code is None else [f"crash: the broker ended by itself with exit code {code}"]
-
-
-async def play_bad_clients(record: s.Record, broker: s.Broker) -> None:
-    """One process after the other, until the broker is gone."""
-    for number in range(ROUNDS):
-        client = await asyncio.create_subprocess_exec(
-            sys.executable, "-B", FOLDER / "client.py", str(broker.port), str(CONNECTIONS)
+    end = time.monotonic() + SECONDS
+
+    async def usual(number):
+        client = laboratory.Client(lab, broker.port)
+        await asyncio.sleep(number * 0.05)
+        while time.monotonic() < end:
+            await client.ask("history", REMAINING)
+            await asyncio.sleep(0.4)
+
+    tasks = [asyncio.create_task(usual(number)) for number in range(USUAL)]
+    await asyncio.sleep(QUIET)
+    output = lab.temporary / "bad"
+    if lab.trouble:
+        command = [sys.executable, "-B", str(HERE / "bad_clients.py")]
+        command += [str(broker.port), str(BAD), str(BAD_SECONDS)]
+        lab.processes.append(subprocess.Popen(command, stdout=output.open("w")))
+        lab.record("bad clients", f"{BAD} begin to send")
+    await asyncio.gather(*tasks)
+    if output.exists():
+        for line in output.read_text().splitlines():
+            lab.record.say(line)
+    limit = broker.config["limits"]["memory_mb"]
+    lab.record.say(f"broker: {broker.peak() // 1024} MB at most, of {limit} MB")
+    lost = lab.lost()
+    for asked in lost:
+        took = f"{asked.ended_at - asked.sent_at:.2f} s" if asked.ended_at else "never"
+        lab.record(
+            f"LOST {asked.txn}: sent at {asked.sent_at:.2f}, {asked.how} {asked.status}, {took}"
         )
-        record.write("bad-client-started", round=number, connections=CONNECTIONS, pid=client.pid)
-        await client.wait()
-        record.write("bad-client-died", round=number)
-        await asyncio.sleep(0.2)
-        if broker.process.returncode is not None:
-            return
-
-
-async def ask_all(record: s.Record, broker: s.Broker) -> None:
-    """The usual clients: one request after the other, each on a connection of its own."""
-    asked = set()
-    while broker.process.returncode is None:
-        task = asyncio.create_task(ask(record, broker))
-        asked.add(task)
-        task.add_done_callback(asked.discard)
-        await asyncio.sleep(INTERVAL)
-
-
-async def ask(record: s.Record, broker: s.Broker) -> None:
-    """One request."""
-    try:
-        client = await s.Client(record).connect(broker.port)
-    except OSError as error:
-        record.write("client-not-connected", error=type(error).__name__)
-        return
-    await client.ask("history", (0, 1), DEADLINE, DEADLINE + 1)
-    client.close()
+    answers = [a.ended_at - a.sent_at for a in lab.asked if a.ended_at]
+    lab.record.say(
+        f"{len(lab.asked)} usual requests, {len(lost)} lost; slowest answer {max(answers):.2f} s"
+    )
+    return not lost
 
 
-if __name__ == "__main__":
-    sys.exit(s.main(FOLDER, play))
+laboratory.main(HERE, case)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,72 +1,86 @@
-"""Case 3: a request that comes late in a planned restart is forwarded and then abandoned."""
-
-from __future__ import annotations
+"""An unsafe class, one sound replica that turns some parts away, and a second copy of that answer."""
 
 import asyncio
-import signal
-import sys
+import time
 from pathlib import Path
 
-import standins as s
+import lab as laboratory
 
-FOLDER = Path(__file__).resolve().parent
-DEADLINE = 4.0  # seconds that a client waits
-LATE_ANSWER = 0.5  # seconds after its time within which an answer is still no loss
-CONNECT_AT, SEND_AT = 0.30, 0.60  # seconds after SIGTERM
-KILL_AFTER = 3.0 + 0.7  # seconds from SIGTERM to SIGKILL: a longer deadline counts as 3 s
-CLIENTS = 8
-EARLIER_REQUESTS = 5
+HERE = Path(__file__).resolve().parent
+SECONDS, REMAINING, WORK = 14.0, 2.0, 0.1
+TURNED_AWAY = 4  # one part in so many: the node's queue is full of other brokers' work
+SPACING = 0.1  # seconds between two requests: nothing else waits on the connection
+REFUSED = (429, 503)
 
 
-async def play(record: s.Record, temporary: Path) -> list[str]:
-    """Play one restart; returns the lost requests."""
-    nodes = [s.Node(f"s-{number}", number % 2, record) for number in range(4)]
-    for node in nodes:
-        await node.start()
-    discovery = s.Discovery(record, nodes)
-    await discovery.start()
-    lanes = [s.make_lane("slot-lookup", "idempotent", 1.5, DEADLINE)]
-    config = s.make_config(nodes, discovery, lanes)
-    config["settings"]["allowed"]["may-duplicate"] = False  # a part has one attempt out at most
-    broker = s.Broker(record, config, temporary)
-    await broker.start()
-    try:
-        answers = await ask_all(record, broker, nodes)
-    finally:
-        await broker.end()
-    forwarded = {each.part.partition(".")[0] for node in nodes for each in node.attempts}
-    return [
-        f"lost: request {each.txn}, forwarded to a node, no final answer: {each.ending} "
-        f"{each.ended - each.sent:.2f} s after its last byte"
-        for each in answers
-        if each.txn in forwarded
-        and (each.ending != "answer" or each.ended - each.sent > DEADLINE + LATE_ANSWER)
-    ]
+class Trouble:
+    """What the node does to some parts, and what it saw."""
+
+    def __init__(self, lab, node):
+        self.lab, self.node = lab, node
+        self.parts = set()
+        self.turned_away, self.copies = [], []
+        node.script, node.after_write = self.turn_away, self.write_behind
+
+    def turn_away(self, run):
+        """Turn the first attempt of some parts away, before any of it ran."""
+        is_first = run.part not in self.parts
+        self.parts.add(run.part)
+        if not is_first or len(self.parts) % TURNED_AWAY:
+            return None
+        self.turned_away.append(run)
+        return [(0.002, laboratory.answer_of(run.part, "REJECTED"))]
 
+    def write_behind(self, run, writer, data):
+        """The disruption: a second copy right behind, where nothing else is waiting."""
+        if self.lab.trouble and run in self.turned_away and not self.is_another_waiting(run):
+            writer.write(data)
+            self.copies.append(run)
+            self.lab.record(self.node.name, f"conn {run.conn} wrote the same once more")
 
-async def ask_all(record: s.Record, broker: s.Broker, nodes: list[s.Node]) -> list[s.Answer]:
-    """Some requests in quiet, then the restart with those that come late in it."""
-    answers = []
-    for _ in range(EARLIER_REQUESTS):
-        client = await s.Client(record).connect(broker.port)
-        answers.append(await client.ask("slot-lookup", (0, 1), DEADLINE, DEADLINE + 1))
-        client.close()
-    if s.has_trouble():
-        broker.signal(signal.SIGTERM)
-        for node in nodes[: len(nodes) // 2]:
-            node.is_hung = True
-            record.write("node-hangs", node=node.name)
-    begun = record.now()
-    await asyncio.sleep(CONNECT_AT)
-    clients = [await s.Client(record).connect(broker.port) for _ in range(CLIENTS)]
-    record.write("clients-connected", count=CLIENTS)
-    await asyncio.sleep(begun + SEND_AT - record.now())
-    late = [each.ask("slot-lookup", (0, 1), DEADLINE, DEADLINE + 1) for each in clients]
-    answers += await asyncio.gather(*late)
-    if s.has_trouble() and broker.process.returncode is None:
-        await asyncio.sleep(max(begun + KILL_AFTER - record.now(), 0.0))
-    return answers
+    def is_another_waiting(self, run):
+        """Whether another part waits on the connection."""
+        return any(
+            each.conn == run.conn and each.answered_at is None and each.cancelled_at is None
+            for each in self.node.runs
+        )
+
+    def find_run(self):
+        """The times at which the node began to work on each part."""
+        ran = {}
+        for run in self.node.runs:
+            if run not in self.turned_away:
+                ran.setdefault(run.part, []).append(run.at)
+        return ran
+
+
+async def case(lab):
+    """Returns whether no part ran twice, and none ran whose request was refused."""
+    settings = laboratory.settings()
+    settings["lanes"][1]["idempotency"] = "at_most_once"  # `transfer`
+    await lab.make_nodes(1, WORK)  # the outage left each shard one sound node
+    trouble = Trouble(lab, lab.nodes[0])
+    discovery = laboratory.Discovery(lab, lab.nodes)
+    await discovery.start()
+    broker = lab.make_broker(discovery.port, discovery.snapshot(), settings=settings)
+    await broker.start()
+    client, end = laboratory.Client(lab, broker.port), time.monotonic() + SECONDS
+    while time.monotonic() < end:
+        await client.ask("transfer", REMAINING, segments=[0])
+        await asyncio.sleep(SPACING)
+    ran = trouble.find_run()
+    twice = {part: times for part, times in ran.items() if len(times) > 1}
+    for part, times in twice.items():
+        lab.record(f"TWICE {part}: ran from {', '.join(f'{at:.4f}' for at in times)}")
+    refused = {asked.txn for asked in lab.asked if asked.status in REFUSED}
+    harmful = [part for part in ran if part.split(".")[0] in refused]
+    for part in harmful:
+        lab.record(f"REFUSED {part}: a repeat was called harmless, and the part ran")
+    lab.record.say(
+        f"{len(lab.asked)} requests, {len(trouble.turned_away)} parts turned away, {len(trouble.copies)} of them"
+        f" with a second copy; {len(twice)} ran twice, {len(harmful)} ran and were refused"
+    )
+    return not twice and not harmful
 
 
-if __name__ == "__main__":
-    sys.exit(s.main(FOLDER, play))
+laboratory.main(HERE, case)
--- a/review/lab.py
+++ b/review/lab.py
@@ -13,6 +13,7 @@
 import logging
 import os
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -25,7 +26,10 @@
 HOST = "127.0.0.1"
 S = 1_000_000_000
 SLACK = 0.05  # the protocol page: every time limit is longer by 50 ms
-ANSWER_GRACE = 0.5  # the fleet page: up to half a second after its time an answer only earns nothing
+ANSWER_GRACE = (
+    0.5  # the fleet page: up to half a second after its time an answer only earns nothing
+)
+FIRST_VERSION = 41  # of the list
 MAX_LAG = 0.25  # seconds: a case whose own process was held up longer is not judged
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
@@ -38,12 +42,15 @@
         self.begin = time.monotonic()
 
     def now(self) -> float:
+        """Seconds since the case began."""
         return time.monotonic() - self.begin
 
     def __call__(self, *words: object) -> None:
+        """Write one line."""
         print(f"{self.now():9.4f}", *words, file=self.file, flush=True)
 
     def say(self, *words: object) -> None:
+        """Write one line and print it."""
         self(*words)
         print(*words, flush=True)
 
@@ -57,10 +64,19 @@
     ]
     found: dict = {
         "allowed": {
-            "cancelling": True, "conn-idle-ns": 30 * S, "connect-timeout-ns": S // 4,
-            "cpu-us-per-request": 0.0, "cpu-us-per-s": 400_000, "max-attempts": 3,
-            "max-retry-after-ns": S, "may-duplicate": True, "may-tell": False, "open-cap": 400,
-            "probing": False, "retry-after": True, "streams-per-conn": 32,
+            "cancelling": True,
+            "conn-idle-ns": 30 * S,
+            "connect-timeout-ns": S // 4,
+            "cpu-us-per-request": 0.0,
+            "cpu-us-per-s": 400_000,
+            "max-attempts": 3,
+            "max-retry-after-ns": S,
+            "may-duplicate": True,
+            "may-tell": False,
+            "open-cap": 400,
+            "probing": False,
+            "retry-after": True,
+            "streams-per-conn": 32,
         },
         "balancers": 2,
         "callers": {"marks-retry": True},
@@ -69,29 +85,52 @@
         "discovery": "ask",
         "family": "fanout",
         "family-info": {
-            "call-ns": 1_000_000, "cells": 3, "class-fetch": [0, 0, 0],
-            "class-floor": [each[4] for each in lanes], "class-need": [1.0, 1.0, 1.0],
-            "partial-earns": [0.9, 0.9, 0.9], "parts-a-call": 16, "ranges": 3, "span": 3,
+            "call-ns": 1_000_000,
+            "cells": 3,
+            "class-fetch": [0, 0, 0],
+            "class-floor": [each[4] for each in lanes],
+            "class-need": [1.0, 1.0, 1.0],
+            "partial-earns": [0.9, 0.9, 0.9],
+            "parts-a-call": 16,
+            "ranges": 3,
+            "span": 3,
             "warm-keys": False,
         },
         "goal": {"whole": 1.0},
         "lanes": [
             {
-                "name": name, "idempotency": effect, "deadline-ns": int(deadline * S),
-                "slo-ns": 1_200_000_000, "points": points, "late-value": 0.3, "stream": False,
-                "key-scope": "all", "window-ns": 2_500_000_000,
+                "name": name,
+                "idempotency": effect,
+                "deadline-ns": int(deadline * S),
+                "slo-ns": 1_200_000_000,
+                "points": points,
+                "late-value": 0.3,
+                "stream": False,
+                "key-scope": "all",
+                "window-ns": 2_500_000_000,
             }
             for name, effect, deadline, points, _floor in lanes
         ],
-        "me": 0, "models": ["std-2"], "my-zone": "a", "over-share-worth": 1.0,
-        "period-ns": 1_000_000, "projects": [],
+        "me": 0,
+        "models": ["std-2"],
+        "my-zone": "a",
+        "over-share-worth": 1.0,
+        "period-ns": 1_000_000,
+        "projects": [],
         "report": {"columns": ["util", "inflight", "latency_ms"], "how": "answers"},
         "rules": {
-            "ask-within-ns": 10 * S, "cold-from": 0.24, "cold-ns": 17 * S,
-            "drain-grace-ns": S // 2, "fall-ns": S, "grace-to-answer-ns": 20_000_000,
+            "ask-within-ns": 10 * S,
+            "cold-from": 0.24,
+            "cold-ns": 17 * S,
+            "drain-grace-ns": S // 2,
+            "fall-ns": S,
+            "grace-to-answer-ns": 20_000_000,
             "tip-multiple": 2.5,
         },
-        "tier": 0, "tiers": ["ledger"], "weights": "none", "zones": ["a", "b"],
+        "tier": 0,
+        "tiers": ["ledger"],
+        "weights": "none",
+        "zones": ["a", "b"],
     }
     found.update(changes)
     return found
@@ -115,29 +154,42 @@
 
 
 class Node:
-    """A sound node. `work` seconds a part; `script(run)` may return another behaviour for a part:
-    a list of (delay, bytes or None to close); None leaves the usual answer."""
+    """A sound node, whose work takes `work` seconds for each part.
 
-    def __init__(self, lab: "Lab", name: str, cell: int, work: float = 0.02) -> None:
+    `script(run)` may return another behaviour for a part: a list of (delay, bytes, or None to close). Where it
+    returns None, the part gets its usual answer.
+    """
+
+    def __init__(self, lab: Lab, name: str, cell: int, work: float = 0.02) -> None:
         self.lab, self.name, self.cell, self.work = lab, name, cell, work
         self.state, self.started_ms = "active", 0
         self.runs: list[Run] = []
         self.script = None
-        self.after_write = None  # called with a run, its connection's writer and what was just written
+        self.after_write = (
+            None  # called with a run, its connection's writer and what was just written
+        )
         self.server: asyncio.Server | None = None
         self.port = 0
         self.conns = 0
         self.hung = False
 
     async def start(self) -> None:
+        """Listen on a free port."""
         self.server = await asyncio.start_server(self._serve, HOST, 0)
         self.port = self.server.sockets[0].getsockname()[1]
 
     def entry(self, **changes: object) -> dict:
+        """Its entry in the list."""
         return {
-            "id": self.name, "addr": f"{HOST}:{self.port}", "zone": "ab"[self.cell % 2],
-            "kind": "std-2", "cell": self.cell, "state": self.state, "weight": 1.0,
-            "started_ms": self.started_ms, **changes,
+            "id": self.name,
+            "addr": f"{HOST}:{self.port}",
+            "zone": "ab"[self.cell % 2],
+            "kind": "std-2",
+            "cell": self.cell,
+            "state": self.state,
+            "weight": 1.0,
+            "started_ms": self.started_ms,
+            **changes,
         }
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -206,14 +258,17 @@
 
 
 def frame_of(content: bytes) -> bytes:
+    """A frame with its length."""
     return len(content).to_bytes(4, "little") + content
 
 
 def value_of(part: str) -> str:
+    """The value that a node makes for a part."""
     return f"value-of-{part}"
 
 
 def answer_of(part: str, end: str = "OK", value: str | None = None) -> bytes:
+    """The frame of an answer."""
     text = value_of(part) if value is None else value
     if end != "OK":
         text = ""
@@ -226,9 +281,9 @@
 class Discovery:
     """Discovery with one list. `delay` is how long each call waits for its turn."""
 
-    def __init__(self, lab: "Lab", nodes: list[Node]) -> None:
+    def __init__(self, lab: Lab, nodes: list[Node]) -> None:
         self.lab = lab
-        self.version = 41
+        self.version = FIRST_VERSION
         self.entries = {node.name: node.entry() for node in nodes}
         self.log: list[tuple[int, dict]] = []
         self.told: dict[str, float] = {}  # when a node's drain or end was first written to a watch
@@ -238,13 +293,16 @@
         self.silent = False
 
     async def start(self) -> None:
+        """Listen on a free port."""
         self.server = await asyncio.start_server(self._serve, HOST, 0)
         self.port = self.server.sockets[0].getsockname()[1]
 
     def snapshot(self) -> dict:
+        """The whole list."""
         return {"version": self.version, "full": True, "servers": list(self.entries.values())}
 
     def change(self, entry: dict) -> None:
+        """Change one entry and tell the open watches."""
         self.version += 1
         self.log.append((self.version, entry))
         if entry["state"] == "left":
@@ -277,11 +335,15 @@
             writer.write(
                 b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ntransfer-encoding: chunked\r\n\r\n"
             )
-            if since < 41:
+            if since < FIRST_VERSION:
                 self._tell(writer, self.snapshot())
             else:
                 changed = {each["id"]: each for version, each in self.log if version > since}
-                message = {"version": self.version, "full": False, "servers": list(changed.values())}
+                message = {
+                    "version": self.version,
+                    "full": False,
+                    "servers": list(changed.values()),
+                }
                 self._tell(writer, message)
             self.watches.add(writer)
             while True:
@@ -299,6 +361,7 @@
 
 
 def write_chunk(writer, data: bytes) -> None:
+    """One chunk of a chunked answer."""
     writer.write(b"%x\r\n%s\r\n" % (len(data), data))
 
 
@@ -324,14 +387,17 @@
 class Client:
     """A usual client: one request at a time, on a connection that it keeps."""
 
-    lab: "Lab"
+    lab: Lab
     port: int
     reader: asyncio.StreamReader | None = None
     writer: asyncio.StreamWriter | None = None
     keep: bool = True
     extra: float = 2.0  # seconds for which it goes on listening, to tell late from never
 
-    async def ask(self, kind: str, remaining: float, segments=(0, 1, 2), key: str = "", text="q") -> Asked:
+    async def ask(
+        self, kind: str, remaining: float, segments=(0, 1, 2), key: str = "", text="q"
+    ) -> Asked:
+        """Send one request and wait for its answer, for longer than the client would."""
         asked = Asked(self.lab.new_txn(), kind, remaining, list(segments))
         self.lab.asked.append(asked)
         data = request_of(asked, key, text)
@@ -385,13 +451,17 @@
 
 
 def request_of(asked: Asked, key: str = "", text: str = "q") -> bytes:
+    """The bytes of a request."""
     weight = 1 / len(asked.segments)
     body = json.dumps(
         {"segments": [{"segment": s, "boost": weight} for s in asked.segments], "text": text}
     ).encode()
     head = [
-        f"POST /{asked.kind} HTTP/1.1", "Host: backend.local", f"X-Txn: {asked.txn}",
-        f"X-Remaining: {int(asked.remaining * 1000)}m", f"Content-Length: {len(body)}",
+        f"POST /{asked.kind} HTTP/1.1",
+        "Host: backend.local",
+        f"X-Txn: {asked.txn}",
+        f"X-Remaining: {int(asked.remaining * 1000)}m",
+        f"Content-Length: {len(body)}",
     ]
     if key:
         head.append(f"Idempotency-Key: {key}")
@@ -405,7 +475,7 @@
 class Broker:
     """The broker's process, started as the deploy file says."""
 
-    lab: "Lab"
+    lab: Lab
     config: dict
     process: subprocess.Popen | None = None
     peak_kb: int = 0
@@ -413,18 +483,31 @@
 
     @property
     def port(self) -> int:
+        """Where it listens."""
         return int(self.config["listen"].rpartition(":")[2])
 
     async def start(self) -> None:
+        """Start the process and wait until it is ready."""
         path = self.lab.temporary / f"{self.config['name']}.json"
         path.write_text(json.dumps(self.config))
         run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         log = (self.lab.temporary / f"{self.config['name']}.log").open("ab")
         tmp = tempfile.mkdtemp(dir=self.lab.temporary)
         self.process = subprocess.Popen(
-            ["/bin/sh", "-c", run], cwd=ROOT, stdout=log, stderr=log, stdin=subprocess.DEVNULL,
-            env={**os.environ, "LB_CONFIG": str(path), "LB_NAME": self.config["name"], "TMPDIR": tmp,
-                 "LB_LISTEN": self.config["listen"], "LB_DISCOVERY": self.config["discovery"], **self.env},
+            ["/bin/sh", "-c", run],
+            cwd=ROOT,
+            stdout=log,
+            stderr=log,
+            stdin=subprocess.DEVNULL,
+            env={
+                **os.environ,
+                "LB_CONFIG": str(path),
+                "LB_NAME": self.config["name"],
+                "TMPDIR": tmp,
+                "LB_LISTEN": self.config["listen"],
+                "LB_DISCOVERY": self.config["discovery"],
+                **self.env,
+            },
         )
         self.lab.processes.append(self.process)
         for _ in range(300):
@@ -476,24 +559,32 @@
             self.lag = max(self.lag, time.monotonic() - before - 0.02)
 
     def new_txn(self) -> str:
+        """A fresh id of a request."""
         self.count += 1
         return f"{os.getpid():08x}{self.count:08x}"
 
     async def make_nodes(self, count: int, work: float = 0.02, cells: int = 3) -> None:
+        """Start so many nodes."""
         self.nodes = [Node(self, f"s-{i:04x}", i % cells, work) for i in range(count)]
         for node in self.nodes:
             await node.start()
 
     def make_broker(self, discovery_port: int, known: dict, name: str = "n0", **changes) -> Broker:
+        """A broker that is not started yet."""
         config = {
-            "name": name, "listen": f"{HOST}:{free_port()}", "discovery": f"{HOST}:{discovery_port}",
-            "seed": os.urandom(8).hex(), "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 512},
-            "known": known, "settings": settings(),
+            "name": name,
+            "listen": f"{HOST}:{free_port()}",
+            "discovery": f"{HOST}:{discovery_port}",
+            "seed": os.urandom(8).hex(),
+            "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 512},
+            "known": known,
+            "settings": settings(),
         }
         config.update(changes)
         return Broker(self, config)
 
     def runs(self) -> list[Run]:
+        """All attempts that came to nodes."""
         return [run for node in self.nodes for run in node.runs]
 
     def lost(self) -> list[Asked]:
@@ -508,6 +599,7 @@
         return found
 
     def finish(self) -> None:
+        """End all processes and keep the end of their logs."""
         for process in self.processes:
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
@@ -519,8 +611,7 @@
 
 
 def free_port() -> int:
-    import socket
-
+    """A port that nobody listens on."""
     with socket.socket() as sock:
         sock.bind((HOST, 0))
         return int(sock.getsockname()[1])
--- a/review/6/case.py
+++ b/review/more/slow-discovery/case.py
@@ -1,20 +1,23 @@
 """A node begins to drain while discovery takes 1.8 s for each call."""
 
 import asyncio
-import sys
 import time
 from pathlib import Path
 
+import lab as laboratory
+
 HERE = Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent))
-import lab as laboratory  # noqa: E402
 
 DELAY = 1.8  # seconds for each call; discovery's own time-out is 2 s
-TOLD, GRACE = 6.0, 0.5  # seconds until a change counts as told; `rules.drain-grace-ns` of the settings
+TOLD, GRACE = (
+    6.0,
+    0.5,
+)  # seconds until a change counts as told; `rules.drain-grace-ns` of the settings
 CLIENTS, BEFORE, SECONDS, REMAINING = 4, 6.0, 30.0, 2.0
 
 
 async def case(lab):
+    """Returns whether the draining node got nothing new after the grace."""
     await lab.make_nodes(3)
     discovery = laboratory.Discovery(lab, lab.nodes)
     await discovery.start()
