--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""Case 2: a client that dies in the middle of its requests ends the broker's process."""
+"""A client that dies in the middle of its requests ends the broker's process."""
 
 from __future__ import annotations
 
--- a/review/more/keyed-late/case.py
+++ b/review/more/keyed-late/case.py
@@ -1,4 +1,4 @@
-"""Case 1: a keyed part whose first connection comes up late is sent again after its window for repeats."""
+"""A keyed part whose first connection comes up late is sent again after its window for repeats."""
 
 from __future__ import annotations
 
--- a/review/more/late-restart/case.py
+++ b/review/more/late-restart/case.py
@@ -1,4 +1,4 @@
-"""Case 3: a request that comes late in a planned restart is forwarded and then abandoned."""
+"""A request that comes late in a planned restart is forwarded and then abandoned."""
 
 from __future__ import annotations
 
