net: an error in a timer or a hook no longer ends the broker's process

Cause: reject_slow_request writes the 408 from a timer, and a peer that resets between the poll and the timers of one turn makes that write raise. Loop called timers, turn hooks and links' events bare, so that the error left Loop.run.

Change: reject_slow_request closes the connection of a peer that is gone. Loop.run_callback reports the error of a callback as that of a task (invariant 8 of stepknot.net.loop) and goes on with the others. A loop without an error handler raises it at the end of its turn, as it did for tasks.

Why it works: no callback's error leaves the turn, and the known one is handled where it arises.

--- a/bench/planted_defects/broker.py
+++ b/bench/planted_defects/broker.py
@@ -84,7 +84,7 @@
     ),
     PlantedDefect(
         path="stepknot/broker/attempt_tracker.py",
-        original="self.end(attempt, api.Outcome.TIMED_OUT, {})",
+        original='self.loop.run_callback("expiry", self.end, attempt, api.Outcome.TIMED_OUT, {})',
         replacement="pass",
         tests=(
             "tests/platform/test_hard_cases.py::test_node_that_fails_and_returns_serves_again_and_no_state_is_left",
--- a/bench/planted_defects/net.py
+++ b/bench/planted_defects/net.py
@@ -3,6 +3,23 @@
 from bench.planted_defects.defect import PlantedDefect
 
 DEFECTS = [
+    # invariant 8 of stepknot.net.loop
+    PlantedDefect(
+        path="stepknot/net/loop.py",
+        original='self.run_callback("timer", timer.callback)',
+        replacement="timer.callback()",
+        tests=(
+            "tests/net/test_loop.py::test_error_of_a_callback_is_reported_and_prevents_no_other_callback",
+        ),
+    ),
+    PlantedDefect(
+        path="stepknot/net/connection.py",
+        original="        except OSError:  # the peer disconnected, and the poll has not reported it yet\n",
+        replacement="        except TimeoutError:\n",
+        tests=(
+            "tests/net/test_server.py::test_client_that_resets_between_the_poll_and_its_timeout_does_not_end_the_server",
+        ),
+    ),
     PlantedDefect(
         path="stepknot/net/link.py",
         original='or self.closed or self.peek() == b""',
--- a/stepknot/broker/admission_gate.py
+++ b/stepknot/broker/admission_gate.py
@@ -205,6 +205,7 @@
 
     def _sweep(self) -> None:
         """Close connections that have waited too long, and remove expired bans and allowances."""
+        self.loop.call_later(SWEEP_INTERVAL, self._sweep)
         oldest_allowed = self.loop.now - self.settings.lane_time
         while self._waiting:
             waiting = next(iter(self._waiting.values()))
@@ -213,7 +214,6 @@
             waiting.close(None if waiting.answered else SilentClose.WAITING_TIMEOUT)
         for network in self.admission.lists.remove_expired(self._wall_clock()):
             self._log("access_list_entry_expired", network=network)
-        self.loop.call_later(SWEEP_INTERVAL, self._sweep)
 
     def _close_evicted(self, verdict: Verdict) -> None:
         """Close the connections that a verdict evicted; the controller has already removed their state."""
--- a/stepknot/broker/attempt_tracker.py
+++ b/stepknot/broker/attempt_tracker.py
@@ -94,7 +94,7 @@
     def _on_expiry(self, attempts: list[Attempt], at: float) -> None:
         self.expiries.pop(at, None)
         for attempt in attempts:
-            self.end(attempt, api.Outcome.TIMED_OUT, {})
+            self.loop.run_callback("expiry", self.end, attempt, api.Outcome.TIMED_OUT, {})
 
     def on_reply(self, attempt: Attempt, reply: PartReply, load: Load) -> None:
         """End an attempt by the transport's reply. The part is served only if the payload answers its request."""
--- a/stepknot/broker/core.py
+++ b/stepknot/broker/core.py
@@ -233,16 +233,26 @@
             return
         events, self.pending_events = self.pending_events, []
         events += self.timers.take_due()
+        try:
+            self._decide_and_carry_out(events)
+        except Exception:
+            # The events are lost to the decision module, which may never end the queries that they are about.
+            self.finish_all()
+            raise
+        finally:
+            self.timers.arm()
+
+    def _decide_and_carry_out(self, events: list[api.Event]) -> None:
+        """Carry out the decision module's actions; an action that fails keeps no other from being carried out."""
         begun = self.loop.clock()
         actions = self.decide(self.loop.now, events)
         self.decide_time += self.loop.clock() - begun
         if self.zones is not None:
             self.zones.end_turn()
-        carry_out = self.carry_out
+        carry_out, run_callback = self.carry_out, self.loop.run_callback
         for action in actions:
-            carry_out[type(action)](action)
+            run_callback("action", carry_out[type(action)], action)
         self._send_outgoing()
-        self.timers.arm()
 
     def _prepare_send(self, action: api.Send) -> None:
         """Start an attempt; it is sent together with this iteration's other attempts for the same node."""
@@ -262,8 +272,11 @@
         """Send each node its attempts, in one call or more, except attempts that already ended in this iteration."""
         outgoing, self.outgoing = self.outgoing, {}
         for server, attempts in outgoing.items():
-            to_send = self.attempts.still_in_flight(attempts)
-            self.counts["calls"] += self.transport.send(server, to_send)
+            self.loop.run_callback("call", self._send_to, server, attempts)
+
+    def _send_to(self, server: str, attempts: list[Attempt]) -> None:
+        to_send = self.attempts.still_in_flight(attempts)
+        self.counts["calls"] += self.transport.send(server, to_send)
 
     def _probe(self, server: str) -> None:
         """Send a health check to a node, which answers with its load report."""
@@ -312,9 +325,9 @@
         parts = (*query.parts, *query.second_parts)
         for part in parts:
             self.parts.pop(part.part_id, None)
+        query.done.set(result)
         self.attempts.drop_unsent(parts)
         self._record_end(query, result)
-        query.done.set(result)
 
     def _record_end(self, query: Query, result: QueryResult | None) -> None:
         ending = result.status.value if result is not None else "gone"
--- a/stepknot/discovery/endpoint_file.py
+++ b/stepknot/discovery/endpoint_file.py
@@ -125,6 +125,7 @@
 
     def poll(self) -> None:
         """Read the file if it changed, and schedule the next poll."""
+        self._loop.call_later(self._interval, self.poll)
         try:
             version = _version_of(self._path)
             if version != self._version:
@@ -133,7 +134,6 @@
                 self._version = version
         except (ConfigError, OSError) as error:
             self._on_error(str(error))
-        self._loop.call_later(self._interval, self.poll)
 
     def _report(self, entries: dict[str, ServerEntry]) -> None:
         if not self._has_snapshot:
--- a/stepknot/net/connection.py
+++ b/stepknot/net/connection.py
@@ -158,8 +158,12 @@
     def reject_slow_request(self) -> None:
         """Answer a request that does not arrive in time, and end the connection."""
         error = HttpError(408, "the request took too long to arrive")
-        self.link.send_now(encode_response(self.server.on_error(error), None, True))
         self.server.timed_out_count += 1
+        try:
+            self.link.send_now(encode_response(self.server.on_error(error), None, True))
+        except OSError:  # the peer disconnected, and the poll has not reported it yet
+            self.link.close()
+            return
         self.half_close()
 
     # --- the end
--- a/stepknot/net/loop.py
+++ b/stepknot/net/loop.py
@@ -11,6 +11,8 @@
 3. The work of a turn ends with the turn hooks: what was received in a turn is decided on once.
 4. Work in progress goes before new work: a task that waits for new work (`Task.patient`) runs after all
    others, and for a bounded time. After a stall, answers do not wait for a backlog of requests.
+8. An error that a callback raises (a timer, a turn hook, a link's event) is reported as that of a task
+   is, and keeps no other callback from its call.
 """
 
 from __future__ import annotations
@@ -128,11 +130,9 @@
     # --- the loop itself
 
     def run(self) -> None:
-        """Turn until `stop`; raises the error of a task that no other waits for, unless `on_error` takes it."""
+        """Turn until `stop`; raises what `turn` raises."""
         while not self.stopping:
             self.turn()
-        if self.failure is not None:
-            raise self.failure
 
     def stop(self) -> None:
         """End `run` after this turn."""
@@ -149,7 +149,10 @@
             signal.signal(number, handler)
 
     def turn(self) -> None:
-        """Poll, then run what is due: tasks, new work, timers, turn hooks."""
+        """Poll, then run what is due: tasks, new work, timers, turn hooks.
+
+        Raises the error of a callback, or of a task that no other waits for, unless `on_error` takes it.
+        """
         wait = 0.0 if self.due or self.new or self.again else self._until_next_timer()
         self.again = False
         ready = self.network.poll(wait)
@@ -158,19 +161,28 @@
         for number, mask in ready:
             link = self.links.get(number)
             if link is not None:
-                link.on_event(mask)
+                self.run_callback("link", link.on_event, mask)
         self.run_due(self.due, begun + SLICE)
         if self.new:
             self.run_due(self.new, self.clock() + NEW_SLICE)
         self._fire_timers()
         self.run_due(self.due, begun + SLICE)
         for hook in self.turn_hooks:
-            hook()
+            self.run_callback("turn_hook", hook)
         self.run_due(self.due, begun + SLICE)
         took = self.clock() - begun
         self._record_lag(took)
         if took >= SLOW_TURN:
-            self.on_slow_turn(took, self.cpu() - cpu)
+            self.run_callback("slow_turn", self.on_slow_turn, took, self.cpu() - cpu)
+        if self.failure is not None:
+            raise self.failure
+
+    def run_callback(self, name: str, callback: Callable[..., object], *args: object) -> None:
+        """Call it now, and report an error that it raises under this name (invariant 8)."""
+        try:
+            callback(*args)
+        except Exception as error:  # noqa: BLE001 - one callback's error must not be the loop's
+            self.on_error(name, error)
 
     def run_due(self, due: deque[Due], until: float) -> None:
         """Step tasks until none is due, or the time is over: the rest is for the next turn.
@@ -198,7 +210,7 @@
         while timers and timers[0][0] <= now:
             timer = heapq.heappop(timers)[2]
             if timer.callback is not None:
-                timer.callback()
+                self.run_callback("timer", timer.callback)
 
     def _record_lag(self, took: float) -> None:
         """Record for how long a turn made everything else wait."""
--- a/stepknot/platform/connection_pool.py
+++ b/stepknot/platform/connection_pool.py
@@ -150,11 +150,11 @@
 
     def close_idle_too_long(self) -> None:
         """Close connections that were idle for as long as nodes nearly allow, now and regularly."""
+        self._schedule_idle_check()
         before = self.loop.now - self._idle_timeout * IDLE_FRACTION
         for connection in self.connections():
             if connection.is_idle and connection.last_used <= before:
                 connection.end("idle")
-        self._schedule_idle_check()
 
     def close(self) -> None:
         """Close all connections."""
@@ -196,4 +196,4 @@
         scheduled, self._write_scheduled = self._write_scheduled, {}
         for connection in scheduled:
             if not connection.has_ended and not connection.is_flushing:
-                connection.flush()
+                self.loop.run_callback("flush", connection.flush)
--- a/stepknot/platform/log.py
+++ b/stepknot/platform/log.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import sys
 import time
 import traceback
@@ -70,8 +71,9 @@
             text = "".join(traceback.format_exception(error))
             given["trace"] = text[-MAX_TRACEBACK_LENGTH:]
         line = orjson.dumps({"at": round(now, 3), "event": event, **given}, default=str)
-        sys.stderr.buffer.write(line + b"\n")
-        sys.stderr.buffer.flush()
+        with contextlib.suppress(OSError):  # nothing reads standard error any more
+            sys.stderr.buffer.write(line + b"\n")
+            sys.stderr.buffer.flush()
 
     return log
 
--- a/tests/net/test_loop.py
+++ b/tests/net/test_loop.py
@@ -15,7 +15,7 @@
 from stepknot.net.http import HttpLimits, ServerParser
 from stepknot.net.link import Link
 from stepknot.net.loop import Loop
-from stepknot.net.network import Network
+from stepknot.net.network import READ, Network
 from stepknot.net.tasks import Coroutine, Future
 
 
@@ -130,6 +130,71 @@
         loop.run()
 
 
+def raise_defect(*_: object) -> None:
+    raise RuntimeError("broken")
+
+
+def add_failing_timer(loop: Loop) -> None:
+    loop.call_later(1.0, raise_defect)
+
+
+def add_failing_turn_hook(loop: Loop) -> None:
+    loop.turn_hooks.append(raise_defect)
+
+
+def add_failing_link_event(loop: Loop) -> None:
+    one, two = socket.socketpair()
+    link = Link(loop, two)
+    link.on_readable = raise_defect
+    one.close()
+    loop.network.poll = lambda timeout: [(link.number, READ)]  # type: ignore[method-assign]
+
+
+def add_failing_slow_turn_report(loop: Loop) -> None:
+    loop.on_slow_turn = raise_defect
+    clock = loop.clock
+    assert isinstance(clock, Clock)
+    loop.turn_hooks.append(lambda: setattr(clock, "now", clock.now + 1.0))
+
+
+FAILING_CALLBACKS = {
+    "timer": add_failing_timer,
+    "turn_hook": add_failing_turn_hook,
+    "link": add_failing_link_event,
+    "slow_turn": add_failing_slow_turn_report,
+}
+
+
+@pytest.mark.parametrize("name", FAILING_CALLBACKS)
+def test_error_of_a_callback_is_reported_and_prevents_no_other_callback(name: str) -> None:
+    """Such an error left `Loop.run`, and with it the process ended."""
+    reported: list[tuple[str, str]] = []
+    called: list[str] = []
+    clock = Clock()
+    loop = Loop(
+        clock,
+        random.Random(1),
+        Waiting(clock),
+        on_error=lambda kind, error: reported.append((kind, str(error))),
+    )
+    FAILING_CALLBACKS[name](loop)
+    loop.call_later(1.0, lambda: called.append("timer"))
+    loop.turn_hooks.append(lambda: called.append("hook"))
+    for _ in range(3):
+        clock.now += 1.0
+        loop.turn()
+    assert (name, "broken") in reported
+    assert called.count("timer") == 1 and called.count("hook") == 3
+
+
+@pytest.mark.parametrize("name", FAILING_CALLBACKS)
+def test_error_of_a_callback_ends_a_loop_that_has_no_error_handler(name: str) -> None:
+    loop = virtual()
+    FAILING_CALLBACKS[name](loop)
+    with pytest.raises(RuntimeError, match="broken"):
+        loop.run()
+
+
 def test_written_data_arrives_completely_at_a_slow_reader() -> None:
     loop = Loop(rng=random.Random(1))
     one, two = socket.socketpair()
--- a/tests/net/test_server.py
+++ b/tests/net/test_server.py
@@ -133,6 +133,31 @@
     sock.close()
 
 
+def test_client_that_resets_between_the_poll_and_its_timeout_does_not_end_the_server(
+    front: Front,
+) -> None:
+    """The write of the 408 raised out of a timer, which ended the process with all requests in flight."""
+    sock = front.client(ASK[:20])
+    front.until(lambda: any(each.parser.started for each in front.server.connections))
+    (connection,) = front.server.connections
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    poll = front.loop.network.poll
+
+    def poll_then_reset(timeout: float) -> list[tuple[int, int]]:
+        ready = poll(timeout)
+        if front.loop.clock() >= connection.deadline:  # its timer fires in this turn
+            sock.close()
+        return ready
+
+    front.loop.network.poll = poll_then_reset  # type: ignore[method-assign]
+    front.until(lambda: connection.link.closed)
+    assert front.server.timed_out_count == 1
+    front.loop.network.poll = poll  # type: ignore[method-assign]
+    later = front.client(ASK.replace(b"host", b"connection: close\r\nhost"))
+    assert b" 200 " in front.answer_to(later)
+    later.close()
+
+
 def test_received_bytes_that_wait_to_be_read_do_not_time_out(front: Front) -> None:
     """After a stall, time-outs of requests fired before bytes that were there already had been read."""
     sock = front.client(ASK[:20])
--- a/tests/platform/test_hard_cases.py
+++ b/tests/platform/test_hard_cases.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from stepknot.interface import Outcome
+from stepknot.interface import Action, Event, Outcome
 from stepknot.nodes.codec import PartReply
 from stepknot.nodes.transport import OutgoingAttempt
 from stepknot.platform.frames import CallPart
@@ -278,3 +278,27 @@
             late.recv(1)
         for each in (late, filler, listener):
             each.close()
+
+
+def test_decision_that_raises_fails_its_queries_at_once_and_the_broker_goes_on() -> None:
+    """A turn hook's error ended the process; its events are lost, so no later decision would end these queries."""
+    with world() as found:
+        for node in found.nodes:
+            node.script = hold
+        (held,) = found.waiting(1)
+        core = found.service.core
+        decide = core.decide
+
+        def raise_once(now: float, events: list[Event]) -> list[Action]:
+            core.decide = decide
+            raise RuntimeError("broken")
+
+        found.call(lambda: setattr(core, "decide", raise_once))
+        arriving = found.client()
+        arriving.sock.sendall(found.request("move"))
+        assert held.read().status == 503 and arriving.read().status == 503
+        found.nodes[1].script = Call.answer
+        assert found.ask("list", (1,)).status == 200
+        (event,) = found.events("task_failed")
+        assert event["error"] == "RuntimeError: broken"
+        found.logged.clear()
--- a/tests/platform/test_log.py
+++ b/tests/platform/test_log.py
@@ -1,5 +1,9 @@
 """What a broker tells of itself when asked to."""
 
+import io
+import os
+import sys
+
 import orjson
 import pytest
 
@@ -23,3 +27,12 @@
     told = orjson.loads(line)
     assert told["now"] == 1.5 and told["actions"] == [["Send", 8, "s2", 0.3, 0, None]]
     assert told["events"] == [["AttemptEnded", 7, 0, "s1", "served", 0.02, True, {"util": 0.5}]]
+
+
+def test_log_without_a_reader_raises_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The error of a write left whichever callback logged, and could end the process."""
+    reader, writer = os.pipe()
+    os.close(reader)
+    with io.TextIOWrapper(io.FileIO(writer, "w"), write_through=True) as stream:
+        monkeypatch.setattr(sys, "stderr", stream)
+        make_log({}, lambda: 5.0)("loop_stalled", took=1.0)
