net: a step reads once, and a line without an end is rejected

Cause: a client's task read and parsed on in one step while the kernel had bytes, so that other connections and all timers waited, the time-out of that very request among them; and ServerParser counted complete headers alone, while the parser kept and copied the line.

Evidence: loop_stalled now names the longest step of a task.

Change: Link.recv leaves what is behind a full read for the next turn (invariant 9 of stepknot.net.loop), so for clients, nodes, discovery and the PROXY header. LineBound counts a line without an end, for requests, replies and watches.

Why it works: each step is bounded whatever a peer sends, so timers fire; each request is bounded in bytes and in time.

--- a/bench/planted_defects/net.py
+++ b/bench/planted_defects/net.py
@@ -20,6 +20,33 @@
             "tests/net/test_server.py::test_client_that_resets_between_the_poll_and_its_timeout_does_not_end_the_server",
         ),
     ),
+    # invariant 9 of stepknot.net.loop
+    PlantedDefect(
+        path="stepknot/net/link.py",
+        original="if self.last_full_turn == self.loop.turns:",
+        replacement="if False:",
+        tests=("tests/net/test_loop.py::test_peer_that_never_stops_sending_is_read_once_a_turn",),
+    ),
+    PlantedDefect(
+        path="stepknot/net/connection.py",
+        original="if count and count % ANSWER_BATCH == 0:",
+        replacement="if False:",
+        tests=("tests/net/test_server.py::test_pipelined_requests_are_answered_in_batches",),
+    ),
+    PlantedDefect(
+        path="stepknot/net/connection.py",
+        original="and self.link.last_received < self.deadline",
+        replacement="and True",
+        tests=(
+            "tests/net/test_server.py::test_request_of_a_client_that_never_stops_sending_gets_408_in_time",
+        ),
+    ),
+    PlantedDefect(
+        path="stepknot/net/line_bound.py",
+        original="self._size += len(fed)",
+        replacement="pass",
+        tests=("tests/net/test_http.py::test_line_without_an_end_is_rejected",),
+    ),
     PlantedDefect(
         path="stepknot/net/link.py",
         original='or self.closed or self.peek() == b""',
@@ -62,7 +89,7 @@
     ),
     PlantedDefect(
         path="stepknot/net/loop.py",
-        original="if clock() >= until:",
+        original="if ended >= until:",
         replacement="if False:",
         tests=("tests/net/test_loop.py::test_many_due_tasks_do_not_delay_a_timer",),
     ),
@@ -172,24 +199,24 @@
     ),
     PlantedDefect(
         path="stepknot/net/connection.py",
-        original="if self.link.reader is None:",
+        original="if self._has_unread_bytes():",
         replacement="if False:",
         tests=(
             "tests/net/test_server.py::test_received_bytes_that_wait_to_be_read_do_not_time_out",
         ),
     ),
     PlantedDefect(
-        path="stepknot/net/connection.py",
-        original="(len(self.unparsed) < READ_AHEAD_BYTES or self.server.one_at_a_time)",
-        replacement="False",
+        path="stepknot/net/read_ahead.py",
+        original="(is_full and not connection.server.one_at_a_time)",
+        replacement="True",
         tests=(
             "tests/net/test_server.py::test_disconnect_behind_more_bytes_than_are_read_ahead_is_noticed",
         ),
     ),
     PlantedDefect(
-        path="stepknot/net/connection.py",
-        original="(len(self.unparsed) < READ_AHEAD_BYTES or self.server.one_at_a_time)",
-        replacement="True",
+        path="stepknot/net/read_ahead.py",
+        original="(is_full and not connection.server.one_at_a_time)",
+        replacement="False",
         tests=("tests/net/test_server.py::test_read_ahead_is_bounded_and_served_in_order",),
     ),
     PlantedDefect(
--- a/bench/trace_packages/subsets.py
+++ b/bench/trace_packages/subsets.py
@@ -32,7 +32,7 @@
 from stepknot.subsets.slow_start import slow_start_share
 from stepknot.subsets.subset import Subset
 
-EXPECTED = "03dd1f0ab67726507ae3811d50c8e8923829bc06aba425368da1657e3e6f0a3a"
+EXPECTED = "20f53f34313ffc16a04d6a36d763e151a379ed0ea518299f5c985018b4f9c816"
 
 START_TIME = 1000.0
 COLD_TIME = 8.0
--- a/stepknot/broker/process.py
+++ b/stepknot/broker/process.py
@@ -35,7 +35,8 @@
     def on_slow_turn(self, took: float, cpu: float) -> None:
         """Log a slow iteration of the loop.
 
-        Little processor time in a slow iteration indicates a busy machine, much processor time a busy broker.
+        Little processor time in a slow iteration indicates a busy machine, much processor time a busy broker. A long
+        step indicates the task that held up all others.
 
         Args:
             took: Duration of the iteration in seconds.
@@ -47,6 +48,8 @@
             cpu=round(cpu, 3),
             queries=len(self.core.queries),
             attempts=len(self.core.attempts),
+            longest_task=self.loop.longest_step.name,
+            longest_step=round(self.loop.longest_step.seconds, 3),
         )
 
     def run_loop(self, reload: Callable[[], None] | None) -> None:
--- a/stepknot/net/connection.py
+++ b/stepknot/net/connection.py
@@ -27,14 +27,14 @@
 )
 from stepknot.net.http import Request, Response, ServerParser, encode_response
 from stepknot.net.link import Link
+from stepknot.net.read_ahead import read_ahead
 from stepknot.net.tasks import NEXT_TURN, Coroutine, Park
 
 if TYPE_CHECKING:
     from stepknot.net.server import Server
 
-READ_AHEAD_BYTES = 16 * 1024  # behind a request in progress; more: see `Server.one_at_a_time`
 LINGER_TIMEOUT = 2.0  # seconds for the peer to read the last answer and to end its side
-DROP_BATCH = 16  # chunks that are read and dropped in a row before other tasks have their turn
+ANSWER_BATCH = 16  # requests answered in a row before other tasks have their turn
 LATE_REQUEST_GRACE = 0.2  # seconds after the listener closed in which requests are still accepted
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 Handler = Callable[[Request, "Connection"], Generator[Park, Any, Response | None]]
@@ -51,10 +51,11 @@
         is_over_limit: there is no capacity for it: its first request is rejected.
         is_busy: a request is in progress.
         is_half_closed: nothing that is received counts any more.
-        has_overrun: more than `READ_AHEAD_BYTES` came behind a request; the connection ends after it.
+        has_overrun: more than is read ahead came behind a request; the connection ends after it.
         disconnect_callback: called once when the client disconnects during a request.
         deadline: when the client must have sent what it is expected to send, by the loop's clock.
         is_timer_set: whether the timer for the deadline is scheduled.
+        is_read_ahead_scheduled: whether what comes behind a request is read on in the next turn.
         is_progress_scheduled: whether a check of how fast the request arrives is scheduled.
         request_started: when the request that is arriving began, or the connection was accepted.
         request_bytes: received of that request.
@@ -69,6 +70,7 @@
         "is_half_closed",
         "is_over_limit",
         "is_progress_scheduled",
+        "is_read_ahead_scheduled",
         "is_timer_set",
         "last_answered",
         "link",
@@ -107,22 +109,26 @@
         self.disconnect_callback: Callable[[], None] | None = None
         self.is_timer_set = False
         self.is_progress_scheduled = False
-        link.on_peer_closed = self._on_peer_closed
-        link.on_readable = self._read_ahead
+        self.is_read_ahead_scheduled = False
+        link.on_peer_closed = self.on_peer_closed
+        link.on_readable = lambda: read_ahead(self)
         self.deadline = 0.0
         self.set_deadline(server.limits.first_byte)
         self.task = server.loop.spawn(self._serve(), "connection", patient=True)
 
     @property
     def in_progress(self) -> bool:
-        """Whether a request is, or its answer is being written: only its peer may end the connection then."""
-        return self.is_busy or self.link.unsent > 0
+        """Whether a request is, waits for its turn, or its answer is being written.
+
+        Only its peer may end the connection then.
+        """
+        return self.is_busy or self.link.unsent > 0 or bool(self.parser.requests)
 
     def on_disconnect(self, callback: Callable[[], None]) -> None:
         """Call back when the client disconnects during this request, at once where it already has."""
         self.disconnect_callback = callback
         if self.link.peer_closed:
-            self._on_peer_closed()
+            self.on_peer_closed()
 
     # --- time-outs
 
@@ -145,8 +151,9 @@
             self.is_timer_set = True
             self.server.loop.call_later(left, self.check_deadline)
         elif self.parser.started:
-            if self.link.reader is None:  # after a stall: received bytes wait to be read
-                self.set_deadline(CAPACITY_INTERVAL)
+            if self._has_unread_bytes():
+                self.is_timer_set = True
+                self.server.loop.call_later(CAPACITY_INTERVAL, self.check_deadline)
             else:
                 self.reject_slow_request()
         elif self.link.peek():  # received just now, and not read yet
@@ -155,6 +162,13 @@
             self.server.timed_out_count += 1
             self.half_close()
 
+    def _has_unread_bytes(self) -> bool:
+        """Whether bytes that may have been received before the deadline wait to be read, as after a stall.
+
+        A client that never stops sending has no such bytes once it was read from after its deadline.
+        """
+        return self.link.reader is None and self.link.last_received < self.deadline
+
     def reject_slow_request(self) -> None:
         """Answer a request that does not arrive in time, and end the connection."""
         error = HttpError(408, "the request took too long to arrive")
@@ -193,49 +207,17 @@
 
     def _drop_received(self) -> Coroutine:
         """Read and drop until the peer ends its side, or the time after the half-close is over."""
-        count = 0
         while not self.link.closed and (yield from self.link.recv(READ_BYTES)):
-            count += 1
-            if count % DROP_BATCH == 0:
-                yield from self.server.loop.sleep(0.0)
+            pass
 
-    def _on_peer_closed(self) -> None:
+    def on_peer_closed(self) -> None:
+        """The client disconnected: end the request in progress."""
         if self.is_busy and self.disconnect_callback is not None:
             callback, self.disconnect_callback = self.disconnect_callback, None
             callback()
 
     # --- reading
 
-    def _read_ahead(self) -> None:
-        """Read what comes behind a request in progress, up to a bound.
-
-        Beyond it the rest stays with the kernel, or, where clients send one request at a time, is
-        dropped: the client's end may follow it (invariant 7).
-        """
-        count = 0
-        while (
-            self.is_busy
-            and not self.link.peer_closed
-            and (len(self.unparsed) < READ_AHEAD_BYTES or self.server.one_at_a_time)
-        ):
-            count += 1
-            if count > DROP_BATCH:
-                self.server.loop.call_later(NEXT_TURN, self._read_ahead)
-                return
-            try:
-                data = self.link.recv_now(READ_BYTES)
-            except OSError:
-                data = b""
-            if data is None:
-                return
-            if not data:
-                self.link.peer_closed = True
-                self._on_peer_closed()
-            elif len(self.unparsed) >= READ_AHEAD_BYTES:
-                self.has_overrun = True
-            else:
-                self.unparsed += data
-
     def _serve(self) -> Coroutine:
         try:
             yield from self._serve_requests()
@@ -247,7 +229,7 @@
             self._on_end()
 
     def _on_end(self) -> None:
-        self._on_peer_closed()
+        self.on_peer_closed()
         self.link.close()
         # These are reference cycles, with the link and the parser.
         self.link.on_peer_closed = None
@@ -332,7 +314,11 @@
         # The time of a pipelined request begins once the one before it is answered, also where its bytes
         # were received long before and are read only now.
         requests, arrived = self.parser.requests, max(self.link.last_readable, self.last_answered)
+        count = 0
         while requests:
+            if count and count % ANSWER_BATCH == 0:
+                yield from self.server.loop.sleep(NEXT_TURN)
+            count += 1
             if self.link.disconnected():  # most of a backlog after a stall
                 self.server.abandoned_count += len(requests)
                 return False
@@ -359,7 +345,7 @@
         self.is_busy = True
         self.task.patient = False
         if self.link.can_read:
-            self._read_ahead()
+            read_ahead(self)
 
     def _end_progress(self) -> None:
         self.is_busy = False
--- a/stepknot/net/http.py
+++ b/stepknot/net/http.py
@@ -15,6 +15,7 @@
 import httptools
 
 from stepknot.net.errors import HttpError
+from stepknot.net.line_bound import LineBound
 
 REASONS = {
     200: "OK",
@@ -35,6 +36,7 @@
     503: "Service Unavailable",
 }
 HEADER_OVERHEAD = 4  # bytes of a header line besides its name and value
+MAX_RESPONSE_LINE_BYTES = 64 * 1024  # of a response's head or between its chunks
 GZIP_FROM = 1400  # bytes: a shorter body fits into one packet uncompressed
 GZIP_LEVEL = 1  # compressing holds up the loop
 
@@ -164,6 +166,7 @@
         "header_size",
         "headers",
         "limits",
+        "line_bound",
         "parser",
         "requests",
         "size",
@@ -178,6 +181,7 @@
         self.started = False
         self.expects = False
         self.error: HttpError | None = None
+        self.line_bound = LineBound()
 
     def feed(self, data: bytes) -> None:
         """Take bytes as they were received.
@@ -196,7 +200,8 @@
             raise HttpError(400, "protocol upgrades are not spoken here") from error
         except httptools.HttpParserError as error:
             raise self.error or HttpError(400, f"malformed HTTP request: {error}") from None
-        if self.started and self.header_size + len(self.url) > self.limits.header + self.limits.url:
+        head_size = self.header_size + len(self.url) + self.line_bound.count(data)
+        if self.started and head_size > self.limits.header + self.limits.url:
             raise HttpError(431, f"request header is over {self.limits.header} bytes")
 
     def _begin(self) -> None:
@@ -214,17 +219,20 @@
 
     def on_message_begin(self) -> None:
         """A request begins."""
+        self.line_bound.on_element()
         self._begin()
         self.started = True
 
     def on_url(self, url: bytes) -> None:
         """A part of the request's target."""
+        self.line_bound.on_element()
         self.url += url
         if len(self.url) > self.limits.url:
             self._reject(414, f"request target is over {self.limits.url} bytes")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """One header."""
+        self.line_bound.on_element()
         self.header_size += len(name) + len(value or b"") + HEADER_OVERHEAD
         if self.header_size > self.limits.header:
             self._reject(431, f"request header is over {self.limits.header} bytes")
@@ -235,10 +243,12 @@
 
     def on_headers_complete(self) -> None:
         """The request's head is complete."""
+        self.line_bound.on_element()
         self.expects = self.headers.get("expect", "").lower() == "100-continue"
 
     def on_body(self, body: bytes) -> None:
         """A part of the request's body."""
+        self.line_bound.on_body()
         self.size += len(body)
         if self.size > self.limits.body:
             self._reject(413, f"request body is over {self.limits.body} bytes")
@@ -247,6 +257,7 @@
     def on_message_complete(self) -> None:
         """The request is complete."""
         assert self.parser is not None
+        self.line_bound.on_body()
         body = b"".join(self.chunks)
         coding = self.headers.get("content-encoding", "").lower()
         if coding in ("gzip", "deflate"):
@@ -286,6 +297,7 @@
         "done",
         "headers",
         "keep_alive",
+        "line_bound",
         "max_bytes",
         "over",
         "parser",
@@ -303,6 +315,7 @@
         self.over = False  # the bound
         self.headers: dict[str, str] = {}
         self.chunks: list[bytes] = []
+        self.line_bound = LineBound()
 
     def feed(self, data: bytes) -> None:
         """Take bytes as they were received.
@@ -318,6 +331,8 @@
             too_long = f"response is over {self.max_bytes} bytes"
             reason = too_long if self.over else f"malformed response: {error}"
             raise HttpError(502, reason) from error
+        if not self.done and self.line_bound.count(data) > MAX_RESPONSE_LINE_BYTES:
+            raise HttpError(502, f"a line of the response is over {MAX_RESPONSE_LINE_BYTES} bytes")
 
     def release(self) -> None:
         """Drop the parser, which refers to this object in turn: nothing more is fed."""
@@ -334,12 +349,14 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """One header."""
+        self.line_bound.on_element()
         self.size += len(name) + len(value or b"")
         self._check_size()
         self.headers[name.decode("latin-1").lower()] = (value or b"").decode("latin-1")
 
     def on_body(self, body: bytes) -> None:
         """A part of the response's body."""
+        self.line_bound.on_body()
         self.size += len(body)
         self._check_size()
         self.chunks.append(body)
--- a/stepknot/net/link.py
+++ b/stepknot/net/link.py
@@ -9,7 +9,7 @@
 
 from stepknot.net.errors import WaitTimeoutError
 from stepknot.net.network import FAILED, PEER_CLOSED, READ, WRITE
-from stepknot.net.tasks import Park, Task, Timer
+from stepknot.net.tasks import NEXT_TURN, Park, Task, Timer
 
 if TYPE_CHECKING:
     from stepknot.net.loop import Loop
@@ -31,13 +31,17 @@
         on_readable: called where no task reads.
         unsent: bytes of the last write that the kernel has not taken.
         last_readable: when the poll last reported something to read, by the loop's clock.
+        last_received: when bytes were last read, by the loop's clock.
+        last_full_turn: the turn in which a read last returned as many bytes as it may: more may wait.
     """
 
     __slots__ = (
         "can_read",
         "can_write",
         "closed",
+        "last_full_turn",
         "last_readable",
+        "last_received",
         "loop",
         "number",
         "on_peer_closed",
@@ -63,6 +67,8 @@
         self.on_readable: Callable[[], None] | None = None
         self.unsent = 0
         self.last_readable = loop.now
+        self.last_received = loop.now
+        self.last_full_turn = -1
         loop.links[self.number] = self
         loop.network.register(sock)
 
@@ -130,7 +136,10 @@
         except BlockingIOError:
             self.can_read = False
             return None
-        if len(data) < max_bytes and data and not self.peer_closed:
+        self.last_received = self.loop.now
+        if len(data) == max_bytes:
+            self.last_full_turn = self.loop.turns
+        elif data and not self.peer_closed:
             self.can_read = False  # the next edge says when there is more
         return data
 
@@ -149,7 +158,15 @@
             return b""
 
     def recv(self, max_bytes: int, timeout: float | None = None) -> Generator[Park, Any, bytes]:
-        """At least one byte, or b"" at the stream's end. Raises OSError, WaitTimeoutError."""
+        """At least one byte, or b"" at the stream's end. Raises OSError, WaitTimeoutError.
+
+        What is left behind a read of `max_bytes` is read in the next turn (invariant 9 of
+        `stepknot.net.loop`).
+        """
+        if self.last_full_turn == self.loop.turns:
+            yield from self.loop.sleep(NEXT_TURN)
+            if self.closed:
+                return b""
         while (data := self.recv_now(max_bytes)) is None:
             yield from self._parked(self.park_reader, timeout)
             if self.closed:
--- a/stepknot/net/listener.py
+++ b/stepknot/net/listener.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Any
 
 from stepknot.net.link import Link
+from stepknot.net.network import BACKLOG
 from stepknot.net.tasks import Coroutine
 
 if TYPE_CHECKING:
@@ -74,8 +75,13 @@
             self._try_take(sock, peer)
 
     def accept_rest(self) -> None:
-        """Take all connections that the kernel accepted: closing the listener would reset them."""
-        while not self.link.closed:
+        """Take the connections that the kernel accepted: closing the listener would reset them.
+
+        Clients may go on connecting meanwhile: no more are taken than could wait before.
+        """
+        for _ in range(BACKLOG):
+            if self.link.closed:
+                return
             try:
                 sock, peer = self.link.sock.accept()
             except OSError as error:
--- a/stepknot/net/loop.py
+++ b/stepknot/net/loop.py
@@ -13,6 +13,8 @@
    others, and for a bounded time. After a stall, answers do not wait for a backlog of requests.
 8. An error that a callback raises (a timer, a turn hook, a link's event) is reported as that of a task
    is, and keeps no other callback from its call.
+9. A step of a task is bounded, whatever a peer sends: it reads once and answers a batch of requests. The
+   rest waits for the next turn, so that other peers and timers have theirs.
 """
 
 from __future__ import annotations
@@ -24,7 +26,7 @@
 import time
 from collections import deque
 from collections.abc import Callable, Generator
-from typing import Any
+from typing import Any, NamedTuple
 
 from stepknot.net.datagrams import Datagrams
 from stepknot.net.link import Link
@@ -41,6 +43,16 @@
 Due = tuple[Task, int, Any, BaseException | None]  # with the ticket, a value or an error
 
 
+class Step(NamedTuple):
+    """One step of a task, by the task's name."""
+
+    name: str
+    seconds: float
+
+
+NO_STEP = Step("", 0.0)
+
+
 class Loop:
     """Runs tasks and timers, and tells links what the network polled.
 
@@ -53,6 +65,7 @@
         on_slow_turn: called with the seconds that a slow turn took and its processor time.
         lag_counts: turns by `LAG_BUCKETS`, and those longer than the last bucket.
         lag_sum: seconds of all turns; `lag_most` is the longest one.
+        longest_step: of a task in this turn.
         lag_lately: the longest recent turn in seconds, halved every `LAG_HALF_LIFE`.
         behind: for how many seconds what is read now may have been there: a long turn, until the
             backlog of new work after it is read.
@@ -88,6 +101,7 @@
         self.lag_most = 0.0
         self.turns = 0
         self.busy = 0.0  # seconds in turns
+        self.longest_step = NO_STEP
         self.lag_lately = 0.0
         self.lag_at = self.now  # when `lag_lately` was computed
         self.behind = 0.0
@@ -157,6 +171,7 @@
         self.again = False
         ready = self.network.poll(wait)
         self.now = begun = self.clock()
+        self.longest_step = NO_STEP
         cpu = self.cpu()
         for number, mask in ready:
             link = self.links.get(number)
@@ -191,12 +206,17 @@
         the parsing of large replies.
         """
         clock = self.clock
+        begun = clock()
         while due:
             task, ticket, value, error = due.popleft()
             if not task.done and ticket == task.ticket:
                 task.step(value, error)
-                if clock() >= until:
+                ended = clock()
+                if ended - begun > self.longest_step.seconds:
+                    self.longest_step = Step(task.name, ended - begun)
+                if ended >= until:
                     return
+                begun = ended
 
     def _until_next_timer(self) -> float:
         while self.timers and self.timers[0][2].callback is None:
--- a/stepknot/net/network.py
+++ b/stepknot/net/network.py
@@ -12,6 +12,7 @@
 PEER_CLOSED = select.EPOLLRDHUP
 FAILED = select.EPOLLHUP | select.EPOLLERR
 ALL_EVENTS = READ | WRITE | PEER_CLOSED | select.EPOLLET
+BACKLOG = 1024  # connections that the kernel accepts before the listener takes them
 MAX_EVENTS = 1024  # taken from one poll: the rest stays for the next turn
 
 
@@ -27,7 +28,7 @@
         """End a poll now; may be called from a signal's handler."""
         os.eventfd_write(self.waker, 1)
 
-    def listen(self, host: str, port: int, backlog: int = 1024) -> socket.socket:
+    def listen(self, host: str, port: int, backlog: int = BACKLOG) -> socket.socket:
         """A listening TCP socket.
 
         Raises:
--- a/stepknot/platform/discovery.py
+++ b/stepknot/platform/discovery.py
@@ -149,6 +149,8 @@
         yield from link.send(self._encode_request(since), FIRST_EVENT_TIMEOUT)
         parser = WatchParser()
         while not parser.is_complete:
+            if link.last_received >= deadline:  # what was read since then does not count
+                raise WaitTimeoutError
             data = yield from link.recv(READ_BYTES, max(deadline - self._loop.now, 0.0))
             if not data:
                 return
--- a/stepknot/platform/watch_parser.py
+++ b/stepknot/platform/watch_parser.py
@@ -6,9 +6,11 @@
 
 import httptools
 
+from stepknot.net.line_bound import LineBound
 from stepknot.platform.errors import WatchError
 
 MAX_MESSAGE_BYTES = 2 * 1024 * 1024  # of one list, indented or not
+MAX_HEAD_BYTES = 64 * 1024  # of the response's head, or of a line between its chunks
 STRUCTURE = re.compile(rb'"(?:[^"\\]|\\.)*"|[{}\[\]]')  # JSON strings do not span lines
 
 
@@ -31,17 +33,21 @@
         self._object = bytearray()  # the complete lines of an object that is not complete
         self._depth = 0  # of brackets that are open in it
         self._messages: list[bytes] = []
+        self._line_bound = LineBound()
 
     def feed(self, data: bytes) -> list[bytes]:
         """Take bytes as they were received; returns the messages that are complete now.
 
         Raises:
-            WatchError: it is not HTTP, or a message is longer than `MAX_MESSAGE_BYTES`.
+            WatchError: it is not HTTP, a message is longer than `MAX_MESSAGE_BYTES` or the head than
+                `MAX_HEAD_BYTES`.
         """
         try:
             self._http.feed_data(data)
         except Exception as error:  # httptools wraps what its callbacks raise
             raise WatchError(f"expected a watch: {error}") from error
+        if self._line_bound.count(data) > MAX_HEAD_BYTES:
+            raise WatchError(f"expected a head of {MAX_HEAD_BYTES} bytes at most")
         messages, self._messages = self._messages, []
         return messages
 
@@ -49,10 +55,12 @@
 
     def on_headers_complete(self) -> None:
         """The response's head was received."""
+        self._line_bound.on_element()
         self.status = self._http.get_status_code()
 
     def on_body(self, body: bytes) -> None:
         """Bytes of the body were received."""
+        self._line_bound.on_body()
         *lines, self._line = (self._line + body).split(b"\n")
         if len(self._line) + len(self._object) > MAX_MESSAGE_BYTES:
             raise ValueError(f"a message over {MAX_MESSAGE_BYTES} bytes")
--- a/tests/net/test_loop.py
+++ b/tests/net/test_loop.py
@@ -6,6 +6,8 @@
 import random
 import socket
 import time
+from collections import Counter
+from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -237,6 +239,57 @@
     assert seen == ["expired"]
 
 
+MAX_READS_IN_A_TURN = 100  # beyond it, a test fails instead of reading for ever
+
+
+class EndlessSocket:
+    """A socket whose peer has always sent more: the head once, and then the unit again and again."""
+
+    def __init__(self, loop: Loop, sock: socket.socket, head: bytes, unit: bytes) -> None:
+        self.loop = loop
+        self.sock = sock
+        self.unit = unit
+        self.pending = bytearray(head)
+        self.read_counts: Counter[int] = Counter()  # by turn
+        self.on_read: Callable[[], object] = lambda: None
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.sock, name)
+
+    def recv(self, size: int, flags: int = 0) -> bytes:
+        while len(self.pending) < size:
+            self.pending += self.unit
+        data = bytes(self.pending[:size])
+        if not flags:
+            self.on_read()
+            self.read_counts[self.loop.turns] += 1
+            assert self.read_counts[self.loop.turns] < MAX_READS_IN_A_TURN, "read on in one turn"
+            del self.pending[:size]
+        return data
+
+
+def test_peer_that_never_stops_sending_is_read_once_a_turn() -> None:
+    """A task read on while there were bytes: other connections and all timers waited for as long as a peer sent."""
+    loop = virtual()
+    one, two = socket.socketpair()
+    endless = EndlessSocket(loop, two, b"", bytes(1024))
+    link = Link(loop, endless)
+    fired: list[float] = []
+
+    def read() -> Coroutine:
+        while (yield from link.recv(1024)):
+            pass
+
+    loop.spawn(read())
+    loop.call_later(0.0, lambda: fired.append(loop.now))
+    for _ in range(20):
+        loop.turn()
+    assert fired and max(endless.read_counts.values()) == 1
+    assert endless.read_counts.total() >= 9
+    link.close()
+    one.close()
+
+
 class Exhausted:
     """A listening socket whose accept fails a few times for want of descriptors."""
 
--- a/tests/net/test_server.py
+++ b/tests/net/test_server.py
@@ -11,12 +11,14 @@
 
 import pytest
 
-from stepknot.net.connection import LATE_REQUEST_GRACE, READ_AHEAD_BYTES, Connection
+from stepknot.net.connection import ANSWER_BATCH, LATE_REQUEST_GRACE, Connection
 from stepknot.net.errors import HttpError
 from stepknot.net.http import HttpLimits, Request, Response
 from stepknot.net.loop import Loop
+from stepknot.net.read_ahead import READ_AHEAD_BYTES
 from stepknot.net.server import Server
 from stepknot.net.tasks import Coroutine, Future
+from tests.net.test_loop import EndlessSocket
 
 WAIT = 10.0
 ASK = b"POST /x HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\n\r\nhi"
@@ -176,6 +178,53 @@
     sock.close()
 
 
+def test_request_of_a_client_that_never_stops_sending_gets_408_in_time(front: Front) -> None:
+    """Its time-out waited for unread bytes, and there were always some."""
+    sock = front.client(b"POST /x HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n")
+    front.until(lambda: any(each.parser.started for each in front.server.connections))
+    (connection,) = front.server.connections
+    chunk = b"1;" + b"e" * 15_000 + b"\r\nx\r\n"  # a body of one byte for each 15 KB
+    connection.link.sock = EndlessSocket(front.loop, connection.link.sock, b"", chunk)
+    sock.sendall(chunk)  # the poll reports that there is something
+    begun = time.monotonic()
+    front.until(lambda: connection.is_half_closed)
+    assert front.server.timed_out_count == 1 and not front.taken
+    assert time.monotonic() - begun < 2 * front.server.limits.body_time
+    assert sock.recv(1024).startswith(b"HTTP/1.1 408 ")
+    connection.link.close()
+    sock.close()
+
+
+def test_pipelined_requests_are_answered_in_batches(front: Front) -> None:
+    """One step answered all that it had read, and everything else waited for it."""
+    count = 10 * ANSWER_BATCH
+    sock = front.client(ASK * count)
+    taken = [0]
+
+    def take_turn() -> bool:
+        assert len(front.taken) - taken[0] <= ANSWER_BATCH
+        taken[0] = len(front.taken)
+        return taken[0] == count
+
+    front.until(take_turn)
+    sock.close()
+
+
+def test_pipelined_requests_that_wait_for_their_turn_are_answered_though_the_listener_closes(
+    front: Front,
+) -> None:
+    """Between two batches no request is in progress, and the connection must not count as idle."""
+    count = 3 * ANSWER_BATCH
+    sock = front.client(ASK * count)
+    front.until(lambda: front.taken)
+    assert len(front.taken) < count
+    (connection,) = front.server.connections
+    connection.half_close_if_idle()
+    assert not front.server.evict() and not connection.is_half_closed
+    front.until(lambda: len(front.taken) == count)
+    sock.close()
+
+
 def test_disconnect_behind_more_bytes_than_are_read_ahead_is_noticed(front: Front) -> None:
     """Its end stood behind bytes that nobody read while its request was in work."""
     front.server.one_at_a_time, front.hold = True, Future()
--- a/tests/platform/test_discovery.py
+++ b/tests/platform/test_discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import socket
 import time
 from dataclasses import replace
 from typing import Any
@@ -13,7 +14,9 @@
 from stepknot.decisions import Aggregator
 from stepknot.decisions.endpoint_list import MAX_WATCH_RETRY
 from stepknot.interface import ListKind, ListReceived, SetTimer
+from stepknot.net.link import Link
 from stepknot.net.loop import Loop
+from stepknot.net.tasks import Coroutine
 from stepknot.platform.config import Address, parse_config
 from stepknot.platform.discovery import (
     FIRST_EVENT_TIMEOUT,
@@ -24,7 +27,7 @@
 from stepknot.platform.endpoint_list import MAX_NODES, WatchEvent, parse_watch_event
 from stepknot.platform.watch_parser import WatchParser
 from tests.broker.scripted import WAIT, until
-from tests.net.test_loop import virtual
+from tests.net.test_loop import Clock, EndlessSocket, virtual
 from tests.platform.test_endpoint_list import LIST
 from tests.platform.test_watch_parser import HEAD, chunk
 from tests.platform.world import Discovery as StandIn
@@ -224,6 +227,31 @@
             )
 
 
+def test_watch_that_sends_without_a_pause_but_no_event_is_given_up_in_time() -> None:
+    """Its time-out counted only while nothing was there to be read, and the loop read on in one step."""
+    loop = virtual()
+    clock = loop.clock
+    assert isinstance(clock, Clock)
+    ours, theirs = socket.socketpair()
+    endless = EndlessSocket(loop, ours, HEAD, chunk(b"\n") * 1000)
+    endless.on_read = lambda: setattr(clock, "now", clock.now + 0.01)
+
+    def connect(*_: object) -> Coroutine:
+        yield from ()
+        return Link(loop, endless)
+
+    loop.connect = connect  # type: ignore[assignment]
+    listener = Recorded(loop)
+    discovery = DiscoveryClient(loop, Address("127.0.0.1", 1), "n0", None, 0.0, listener)
+    began = loop.now
+    discovery.open_watch()
+    while not listener.failed_at:
+        loop.turn()
+        assert loop.now < began + WAIT
+    assert listener.failed_at[0] - began < FIRST_EVENT_TIMEOUT + 0.1
+    theirs.close()
+
+
 def test_incomplete_line_does_not_keep_a_watch_open_and_empty_lines_do() -> None:
     with world(mood="beats") as found:
         until(lambda: found.service.discovery.version == 10)
