platform: a connection that carried an attempt of a part carries no later one

Cause: an answer names its part, not its attempt. may_answer kept a further attempt off a connection on which an earlier one was in flight or cancelled, and took an answered one to be over. The second copy then ended the further attempt as one that never ran.

Change: CallPart.carriers has the connections that carried its attempts, and NodeConnection.may_carry keeps each later one off them, whatever became of the earlier one; it lasts as long as the part, so no bound can make it forget.

Why it works: an answer for a part can only belong to the one attempt that its connection ever carried.

Tests: on the code before, all three new cases fail (REJECTED and ERROR sent twice, the copy just before the second attempt's own answer; two attempts in one turn).

--- a/bench/planted_defects/platform.py
+++ b/bench/planted_defects/platform.py
@@ -47,11 +47,29 @@
     ),
     PlantedDefect(
         path="stepknot/platform/node_connection.py",
-        original="return part_id in self.in_flight or part_id in self.cancelled",
-        replacement="return False",
+        original="is_expected = part.part_id in self.in_flight or part.part_id in self.cancelled",
+        replacement="is_expected = False",
         tests=("tests/platform/test_nodes.py::test_late_answer_is_not_taken_for_a_later_attempt",),
         invariant="4",
     ),
+    PlantedDefect(
+        path="stepknot/platform/node_connection.py",
+        original="return not is_expected and self.number not in part.carriers",
+        replacement="return not is_expected",
+        tests=(
+            "tests/platform/test_nodes.py::test_second_copy_of_an_answer_is_not_taken_for_the_next_attempts_answer",
+        ),
+        invariant="4",
+    ),
+    PlantedDefect(
+        path="stepknot/platform/nodes.py",
+        original=" or part_id in part_ids:",
+        replacement=":",
+        tests=(
+            "tests/platform/test_nodes.py::test_two_attempts_of_a_part_in_one_turn_travel_on_connections_of_their_own",
+        ),
+        invariant="4",
+    ),
     PlantedDefect(
         path="stepknot/platform/node_connection.py",
         original="return is_cancelled",
@@ -349,8 +367,8 @@
     ),
     PlantedDefect(
         path="stepknot/platform/nodes.py",
-        original="size, calls = self.parts_per_call, 0",
-        replacement="size, calls = 1, 0",
+        original="len(calls[-1]) == self.parts_per_call",
+        replacement="len(calls[-1]) == 1",
         tests=(
             "tests/platform/test_nodes.py::test_parts_of_one_call_are_sent_in_one_frame_and_answered_one_by_one",
         ),
--- a/bench/trace_packages/platform.py
+++ b/bench/trace_packages/platform.py
@@ -29,7 +29,7 @@
 from stepknot.platform.nodes import Nodes
 from stepknot.platform.watch_parser import WatchParser
 
-EXPECTED = "78b3103c740933642627a8b04a519eb53170243b076a2396c6c9c19132c7aa66"
+EXPECTED = "6b5a29b9c2ded8ccd8d82103ce77683d5f6455a89fc85fd819c61d840f0297b3"
 
 
 def record(trace: Trace) -> None:
--- a/stepknot/platform/__init__.py
+++ b/stepknot/platform/__init__.py
@@ -13,8 +13,9 @@
 
 Connections to nodes:
 
-4. A part's id is the same in each attempt. A connection that may still receive the answer of an earlier
-   attempt carries no later one: no late answer is taken for another attempt's.
+4. A part's id is the same in each attempt. A connection that carried an attempt carries no later one of
+   the part, and a call carries one attempt of a part: no late or repeated answer is taken for another
+   attempt's.
 5. A call's frame is written when the connection is up and the kernel takes it. Parts whose frame the
    kernel did not take to its last byte never ran. After that, a connection that ends may have left any
    of its parts to run.
--- a/stepknot/platform/connection_pool.py
+++ b/stepknot/platform/connection_pool.py
@@ -126,7 +126,7 @@
         return (
             len(connection.in_flight) + len(attempts) <= self._max_parts
             and not connection.is_unresponsive
-            and not any(connection.may_answer(each.request.part_id) for each in attempts)
+            and all(connection.may_carry(each.request) for each in attempts)
         )
 
     def open(self, node: Node) -> NodeConnection | None:
@@ -134,9 +134,9 @@
         if self.count_open() >= self._max_connections and not self.evict_idle():
             self.rejected_count += 1
             return None
-        connection = NodeConnection(self, node)
-        node.connections.append(connection)
         self.opened_count += 1
+        connection = NodeConnection(self, node, self.opened_count)
+        node.connections.append(connection)
         self.loop.spawn(connection.run(), "node")
         return connection
 
--- a/stepknot/platform/frames.py
+++ b/stepknot/platform/frames.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from stepknot.interface import Outcome
 from stepknot.platform.errors import FrameError
@@ -35,12 +35,14 @@
         shard: the shard's number.
         text: what the query looks for.
         idempotency_key: of the query, empty where its class has none.
+        carriers: the connections that carried an attempt of the part, each by its number.
     """
 
     part_id: bytes
     shard: int
     text: bytes
     idempotency_key: str = ""
+    carriers: set[int] = field(default_factory=set, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/stepknot/platform/node_connection.py
+++ b/stepknot/platform/node_connection.py
@@ -18,6 +18,7 @@
 from stepknot.nodes.codec import PartReply
 from stepknot.nodes.transport import Load, OnReply, OutgoingAttempt
 from stepknot.platform.frames import (
+    CallPart,
     FrameReader,
     FrameRejected,
     Message,
@@ -94,6 +95,7 @@
     """Carries calls and probes to one node and their answers.
 
     Attributes:
+        number: no other connection of this process has it.
         in_flight: attempts that are queued or not answered, by part id.
         cancelled: ids of cancelled parts that may still be answered, the oldest first.
         probes: who waits for a probe's answer, by the probe's type; None where nobody does any more.
@@ -111,14 +113,16 @@
         "last_used",
         "link",
         "node",
+        "number",
         "owner",
         "probes",
         "queue",
         "unanswered_since",
     )
 
-    def __init__(self, owner: ConnectionOwner, node: Node) -> None:
+    def __init__(self, owner: ConnectionOwner, node: Node, number: int) -> None:
         self.owner = owner
+        self.number = number
         self.node = node
         self.link: Link | None = None  # while it is up
         self.queue = WriteQueue()
@@ -147,9 +151,13 @@
         """Whether nothing came back for longer than a new connection may take to come up (invariant 9)."""
         return self.owner.loop.now - self.unanswered_since > self.owner.connect_timeout
 
-    def may_answer(self, part_id: bytes) -> bool:
-        """Whether an answer to an attempt of this part may still be received (invariant 4)."""
-        return part_id in self.in_flight or part_id in self.cancelled
+    def may_carry(self, part: CallPart) -> bool:
+        """Whether no answer that it receives can belong to an earlier attempt of the part (invariant 4).
+
+        An attempt that was answered counts, too: its answer may come a second time.
+        """
+        is_expected = part.part_id in self.in_flight or part.part_id in self.cancelled
+        return not is_expected and self.number not in part.carriers
 
     # --- what the broker sends
 
@@ -158,6 +166,7 @@
         frame = QueuedFrame(attempts, self.owner.loop.now)
         for attempt in attempts:
             attempt.call = Call(self, frame)
+            attempt.request.carriers.add(self.number)
             self.in_flight[attempt.request.part_id] = attempt
         self._enqueue(frame)
 
--- a/stepknot/platform/nodes.py
+++ b/stepknot/platform/nodes.py
@@ -37,10 +37,25 @@
 
     def send(self, server: str, attempts: list[OutgoingAttempt]) -> int:
         """Send what goes to one node in one turn; returns in how many calls."""
-        size, calls = self.parts_per_call, 0
-        for place in range(0, len(attempts), size):
-            self._send_call(server, attempts[place : place + size])
-            calls += 1
+        calls = self._group_by_call(attempts)
+        for call in calls:
+            self._send_call(server, call)
+        return len(calls)
+
+    def _group_by_call(self, attempts: list[OutgoingAttempt]) -> list[list[OutgoingAttempt]]:
+        """The attempts in their order, in calls of `parts_per_call` at most and of one attempt of each part.
+
+        Two attempts of a part in one call could not be told apart in its answers.
+        """
+        calls: list[list[OutgoingAttempt]] = []
+        part_ids: set[bytes] = set()  # in the last call
+        for attempt in attempts:
+            part_id = attempt.request.part_id
+            if not calls or len(calls[-1]) == self.parts_per_call or part_id in part_ids:
+                calls.append([])
+                part_ids = set()
+            calls[-1].append(attempt)
+            part_ids.add(part_id)
         return calls
 
     def _send_call(self, server: str, attempts: list[OutgoingAttempt]) -> None:
--- a/tests/platform/test_nodes.py
+++ b/tests/platform/test_nodes.py
@@ -121,6 +121,57 @@
         assert again.read().body["matches"] == [{"segment": 0, "payload": "new"}]
 
 
+@pytest.mark.parametrize("outcome", ["REJECTED", "ERROR"])
+def test_second_copy_of_an_answer_is_not_taken_for_the_next_attempts_answer(outcome: str) -> None:
+    """A copy of REJECTED ended the next attempt as never run while it ran, so that an unsafe part ran twice."""
+    with world() as found:
+        calls = found.nodes[0].calls
+
+        def script(call: Call) -> None:
+            if call is calls[0]:
+                call.answer(end=outcome)
+            else:
+                calls[0].answer(
+                    end=outcome
+                )  # once more, just before the second attempt's own answer
+                call.answer()
+
+        found.nodes[0].script = script
+        assert found.ask("list").status == 200
+        first, second = calls
+        assert first.sock is not second.sock
+        assert outcomes(found) == {Outcome[outcome]: 1, Outcome.SERVED: 1}
+        until(lambda: len(connections(found)) == 1)  # what carried the copy has ended
+
+
+def test_two_attempts_of_a_part_in_one_turn_travel_on_connections_of_their_own() -> None:
+    """One call carried both: one was forgotten, and its time-out raised a ValueError that ended the process."""
+    with world(family={"parts-a-call": 16}) as found:
+        nodes: Nodes = found.service.nodes
+        ended: list[tuple[str, Outcome]] = []
+        part = CallPart(b"x.0", 0, b"t")
+        attempts = [OutgoingAttempt(part, "first", 1.0), OutgoingAttempt(part, "hedge", 1.0)]
+        attempts.append(OutgoingAttempt(CallPart(b"y.0", 0, b"t"), "other", 1.0))
+        found.nodes[0].script = hold
+
+        def send() -> int:
+            nodes.on_reply = lambda attempt, reply, load: ended.append(
+                (attempt.name, reply.outcome)
+            )
+            return nodes.send("s-0", attempts)
+
+        assert found.call(send) == 2
+        until(lambda: len(found.nodes[0].calls) == 2)
+        assert len(found.nodes[0].socks) == 2
+        for connection in list(connections(found)):
+            found.call(lambda each=connection: each.end("the test ends it"))
+        assert sorted(ended) == [
+            ("first", Outcome.RESET),
+            ("hedge", Outcome.RESET),
+            ("other", Outcome.RESET),
+        ]
+
+
 @pytest.mark.parametrize("name", MALFORMED)
 def test_malformed_bytes_end_their_connection_and_no_other(name: str) -> None:
     with world() as found:
