decisions: refused calls to discovery are repeated with a growing delay

Cause: a refused call costs discovery work, and EndpointList repeated it after 0.25 to 0.5 s however often it had failed. 32 brokers whose watches were reset made some 85 calls a second, so that discovery served one or two, and the last broker got its watch after 22 s.

Change: from the third failure in a row on the delay doubles, up to four times the first one; a list, changes or a new address of discovery end it. The first two keep their delay, so that the sums of times under 6 s and, after a new address, 4 s hold as before.

--- a/bench/planted_defects/decisions.py
+++ b/bench/planted_defects/decisions.py
@@ -11,6 +11,20 @@
             "tests/platform/test_discovery.py::test_timeouts_of_the_watch_add_up_to_less_than_the_propagation_delay",
         ),
     ),
+    PlantedDefect(
+        path="stepknot/decisions/endpoint_list.py",
+        original="min(2 ** max(self._failed_watches - 2, 0), MAX_WATCH_BACKOFF)",
+        replacement="1",
+        tests=(
+            "tests/decisions/test_endpoint_list.py::test_watch_is_retried_with_backoff_until_a_list_is_received",
+        ),
+    ),
+    PlantedDefect(
+        path="stepknot/platform/service.py",
+        original="self.core.post(NO_CHANGES)  # ends the backoff",
+        replacement="pass",
+        tests=("tests/platform/test_discovery.py::test_address_change_ends_the_backoff",),
+    ),
     PlantedDefect(
         path="stepknot/decisions/slow_start.py",
         original="remaining + cost * quota.draw >= cost",
--- a/stepknot/decisions/endpoint_list.py
+++ b/stepknot/decisions/endpoint_list.py
@@ -18,12 +18,23 @@
 # subscription; changes then still arrive in time.
 WATCH_RETRY_SHARE = 0.25
 MAX_WATCH_RETRY = 0.5
+# From the third failure in a row on the delay doubles, up to so many times the first one: refused calls
+# cost the registry work, which a crowd of instances takes from those that it could serve.
+MAX_WATCH_BACKOFF = 4
 
 
 class EndpointList:
     """The listed servers, in the list's order."""
 
-    __slots__ = ("_by_shard", "_slow_start", "_timers", "_turn", "by_cell", "capsules")
+    __slots__ = (
+        "_by_shard",
+        "_failed_watches",
+        "_slow_start",
+        "_timers",
+        "_turn",
+        "by_cell",
+        "capsules",
+    )
 
     def __init__(self, turn: Turn, timers: Timers, slow_start: SlowStart) -> None:
         self._turn, self._timers, self._slow_start = turn, timers, slow_start
@@ -31,12 +42,15 @@
         self.by_cell: dict[int, list[Capsule]] = {}  # capsules of live servers, by cell
         # Results of `replicas`, computed from `by_cell` on request.
         self._by_shard: dict[int, list[Capsule]] = {}
+        self._failed_watches = 0  # since the last list or changes
 
     def on_list(self, event: ListReceived) -> None:
         """Apply a list or its changes; after a failure, schedule a new watch."""
         if event.kind is ListKind.FAILED:
+            self._failed_watches += 1
             self._watch_again()
             return
+        self._failed_watches = 0
         if event.kind is not ListKind.CHANGES:
             listed = {entry.server for entry in event.entries}
             self.capsules = {
@@ -64,10 +78,13 @@
         self._turn.actions.append(Watch())
 
     def _watch_again(self) -> None:
-        """Schedule a new watch well within `ask_within`, with jitter so that instances spread out."""
+        """Schedule a new watch within `ask_within`, with backoff, and jitter so that instances spread out."""
         delay = (self._turn.settings.rules.ask_within or math.inf) * WATCH_RETRY_SHARE
+        backoff = min(2 ** max(self._failed_watches - 2, 0), MAX_WATCH_BACKOFF)
         jitter = self._turn.random.uniform(0.5, 1.0)
-        self._timers.set(self._turn.now + min(delay, MAX_WATCH_RETRY) * jitter, self.watch)
+        self._timers.set(
+            self._turn.now + min(delay, MAX_WATCH_RETRY) * backoff * jitter, self.watch
+        )
 
     def _apply_entry(self, entry: ServerEntry) -> None:
         known = self.capsules.get(entry.server)
--- a/stepknot/platform/discovery.py
+++ b/stepknot/platform/discovery.py
@@ -4,13 +4,15 @@
 that fails or ends is reported. Until another event is received, the list last received holds.
 
 The platform requires that a change is known `MAX_PROPAGATION_DELAY` seconds after discovery had it and
-could be reached, whatever call failed. Two sums stay below that, from whichever moment one starts:
+could be reached, whatever call failed. Three sums stay below that, from whichever moment one starts:
 
-    WATCH_TIMEOUT (the active watch is silent) + the module's backoff + FIRST_EVENT_TIMEOUT
-    FIRST_EVENT_TIMEOUT (a call that fails) + the module's backoff + FIRST_EVENT_TIMEOUT; under 4 seconds,
-    as the platform requires after a change of discovery's address
+    WATCH_TIMEOUT (the active watch is silent) + the module's first delay + FIRST_EVENT_TIMEOUT
+    FIRST_EVENT_TIMEOUT (a call that fails) + the module's first delay + FIRST_EVENT_TIMEOUT; under 4
+    seconds, as the platform requires after a change of discovery's address
+    FIRST_EVENT_TIMEOUT (one of several calls that fail) + the module's backoff + FIRST_EVENT_TIMEOUT
 
-The backoff is `MAX_WATCH_RETRY` (`stepknot/decisions/endpoint_list.py`) at most. Only a complete message
+The first delay is `MAX_WATCH_RETRY` (`stepknot/decisions/endpoint_list.py`) at most, and the backoff
+`MAX_WATCH_BACKOFF` times as long. Only a complete message
 or a keep-alive (an empty line) resets the time-out, not bytes: half a message may be received for ever.
 Invariants 1 to 3 of `stepknot.platform` are kept here.
 """
--- a/stepknot/platform/service.py
+++ b/stepknot/platform/service.py
@@ -60,6 +60,7 @@
 STOP_POLL_INTERVAL = 0.01  # seconds
 MAX_LOGGED_PATH = 80
 OK, CONFLICT, SERVICE_UNAVAILABLE = 200, 409, 503
+NO_CHANGES = ListReceived(ListKind.CHANGES)
 
 Log = Callable[..., None]
 
@@ -108,7 +109,7 @@
         if cached is not None:
             self.nodes.update_addresses(cached.addresses, is_snapshot=True)
             self.core.update_endpoints(to_list_event(cached, ListKind.CACHED))
-        self.core.post(ListReceived(ListKind.CHANGES))  # the module asks for the list in turn one
+        self.core.post(NO_CHANGES)  # the module asks for the list in turn one
         self.catalog = requests.Catalog(config.settings.classes, config.shard_count)
         self.open_names: set[str] = set()
         self.server = self._make_server()
@@ -267,6 +268,7 @@
                 self.loop.call_later(delay, lambda: self.reload(tuple(later)))
             return
         self.log("config_reloaded", discovery_address=str(config.discovery_address))
+        self.core.post(NO_CHANGES)  # ends the backoff of earlier failures
         self.discovery.change_address(config.discovery_address)
 
     def shut_down(self) -> Coroutine:
--- a/tests/decisions/test_endpoint_list.py
+++ b/tests/decisions/test_endpoint_list.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from stepknot.decisions.endpoint_list import MAX_WATCH_RETRY
 from stepknot.interface import ListKind, ServerState, SetTimer, TimerDue, Watch
 from tests.helpers import FLEET, Driver, entry, make_settings
 
@@ -23,6 +24,22 @@
     assert driver.handle(TimerDue(timer.token)) == [Watch()]
 
 
+def test_watch_is_retried_with_backoff_until_a_list_is_received() -> None:
+    """Refused calls were repeated at one pace: a crowd of them kept the registry from serving anybody."""
+    driver = Driver(make_settings(must_ask=True))
+    first = min(driver.settings.rules.ask_within / 4, MAX_WATCH_RETRY)
+
+    def delay_after_failure() -> float:
+        driver.list([], ListKind.FAILED)
+        (timer,) = [action for action in driver.acts if isinstance(action, SetTimer)]
+        return timer.at - driver.now
+
+    for factor in (1, 1, 2, 4, 4, 4):
+        assert factor * first / 2 <= delay_after_failure() <= factor * first
+    driver.list([], ListKind.CHANGES)
+    assert delay_after_failure() <= first
+
+
 def test_restarted_server_has_no_failures_of_its_former_process() -> None:
     driver = Driver(fleet=FLEET[:2])
     busy_server = driver.aggregator.capsules["s0a"]
