tests: KNOWN-RED.txt is read, and its tests are left out and printed

Change: tests/conftest.py deselects the tests whose ids KNOWN-RED.txt has, and prints them in the header and at the end of a run.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,7 @@
-"""Fixtures shared by the tests of the broker: a small fleet of real processes on loopback, started once."""
+"""Fixtures shared by the tests of the broker: a small fleet of real processes on loopback, started once.
+
+Tests that KNOWN-RED.txt lists are left out, and printed.
+"""
 
 from __future__ import annotations
 
@@ -10,7 +13,9 @@
 from hypothesis import settings
 
 from stepknot.simulation.fleet import Fleet
+from tests.known_red import read_known_red
 
+KNOWN_RED = read_known_red()
 DOCUMENTS = 2_000
 
 settings.register_profile(
@@ -19,6 +24,25 @@
 settings.load_profile("repeatable")
 
 
+def pytest_report_header() -> list[str]:
+    """Name the tests that are left out."""
+    return [f"known red, not run: {test}" for test in KNOWN_RED]
+
+
+def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
+    """Name them again at the end; a quiet run has no header."""
+    for test in KNOWN_RED:
+        terminalreporter.write_line(f"known red, not run: {test}")
+
+
+def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
+    """Leave out exactly the listed tests."""
+    left_out = [item for item in items if item.nodeid in KNOWN_RED]
+    if left_out:
+        config.hook.pytest_deselected(items=left_out)
+        items[:] = [item for item in items if item.nodeid not in KNOWN_RED]
+
+
 @pytest.fixture(scope="session")
 def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Fleet]:
     """Two brokers, six boxes in three cells and two zones; nobody injects faults here."""
