net: a body before an incomplete line does not count to that line

What callers would have seen: a 431 for a valid request whose first bytes came in one read with the body of the one before it, where that body has no end of line and is over the bound on a head.

Cause: LineBound took all bytes behind the last end of line in what was fed for the incomplete line, also those of the body before it.

Change: bytes of a body that were reported from the same feed are not counted. A line can be undercounted by them, in its first feed alone.

--- a/bench/trace_packages/net.py
+++ b/bench/trace_packages/net.py
@@ -25,7 +25,7 @@
 from stepknot.net.server import Server
 from stepknot.net.tasks import Coroutine, Future
 
-EXPECTED = "1a9abaff6752df1785768b7bc99e59bffab3aba9efefc27714c73d7b06ecddb0"
+EXPECTED = "d95d6317406e0697c6028cbe318826ad2683e7ac92f94c8aeb2fdb08f7e3c652"
 LIMITS = HttpLimits(
     header=500, url=100, body=3000, first_byte=1.0, body_time=1.5, idle=2.0, write=0.8
 )
--- a/stepknot/net/http.py
+++ b/stepknot/net/http.py
@@ -248,7 +248,7 @@
 
     def on_body(self, body: bytes) -> None:
         """A part of the request's body."""
-        self.line_bound.on_body()
+        self.line_bound.on_body(len(body))
         self.size += len(body)
         if self.size > self.limits.body:
             self._reject(413, f"request body is over {self.limits.body} bytes")
@@ -257,7 +257,7 @@
     def on_message_complete(self) -> None:
         """The request is complete."""
         assert self.parser is not None
-        self.line_bound.on_body()
+        self.line_bound.on_body(0)
         body = b"".join(self.chunks)
         coding = self.headers.get("content-encoding", "").lower()
         if coding in ("gzip", "deflate"):
@@ -356,7 +356,7 @@
 
     def on_body(self, body: bytes) -> None:
         """A part of the response's body."""
-        self.line_bound.on_body()
+        self.line_bound.on_body(len(body))
         self.size += len(body)
         self._check_size()
         self.chunks.append(body)
--- a/stepknot/net/line_bound.py
+++ b/stepknot/net/line_bound.py
@@ -14,10 +14,11 @@
     feed.
     """
 
-    __slots__ = ("_has_element", "_is_in_body", "_size")
+    __slots__ = ("_body_size", "_has_element", "_is_in_body", "_size")
 
     def __init__(self) -> None:
         self._size = 0
+        self._body_size = 0  # bytes of bodies since the last feed
         self._has_element = False  # since the last feed
         self._is_in_body = False  # the last element was one of the body
 
@@ -26,8 +27,9 @@
         self._has_element = True
         self._is_in_body = False
 
-    def on_body(self) -> None:
-        """Bytes of a body were reported, or the message's end: no line is incomplete behind them."""
+    def on_body(self, size: int) -> None:
+        """Bytes of a body were reported, or, with 0, the message's end: no line is incomplete behind them."""
+        self._body_size += size
         self._has_element = True
         self._is_in_body = True
 
@@ -37,7 +39,9 @@
             self._size += len(fed)
         elif self._is_in_body:
             self._size = 0
-        else:
-            self._size = len(fed) - fed.rfind(b"\n") - 1
+        else:  # a body without an end of line may stand before the next message's first line
+            behind_last_line = len(fed) - fed.rfind(b"\n") - 1
+            self._size = max(behind_last_line - self._body_size, 0)
+        self._body_size = 0
         self._has_element = False
         return self._size
--- a/stepknot/platform/watch_parser.py
+++ b/stepknot/platform/watch_parser.py
@@ -60,7 +60,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Bytes of the body were received."""
-        self._line_bound.on_body()
+        self._line_bound.on_body(len(body))
         *lines, self._line = (self._line + body).split(b"\n")
         if len(self._line) + len(self._object) > MAX_MESSAGE_BYTES:
             raise ValueError(f"a message over {MAX_MESSAGE_BYTES} bytes")
--- a/tests/net/test_http.py
+++ b/tests/net/test_http.py
@@ -72,6 +72,17 @@
     assert [each.body for each in parser.requests] == [body] * 3
 
 
+def test_body_before_an_incomplete_line_does_not_count() -> None:
+    """A request was rejected where its first bytes came in one piece with the body of the one before it."""
+    body = b"b" * 30_000
+    first = HEAD + b"content-length: %d\r\n\r\n" % len(body) + body
+    for length in range(1, len(HEAD)):
+        parser = ServerParser(LIMITS)
+        parser.feed(first + HEAD[:length])
+        parser.feed(HEAD[length:] + b"content-length: 2\r\n\r\nhi")
+        assert [each.body for each in parser.requests] == [body, b"hi"]
+
+
 def test_line_of_a_response_without_an_end_is_rejected() -> None:
     parser = ClientParser(1 << 25)
     parser.feed(b"HTTP/1.1 200 OK\r\nx-more: ")
