tests: one wait with a bound, and known red tests are named once

Need: test_service had a second form of wait_for, and a run with known red tests named each of them in its header and again at its end.

Change: wait_for takes the seconds, five as before where none are given; the names stand at the end, which a quiet run prints, too.

--- a/tests/broker/scripted.py
+++ b/tests/broker/scripted.py
@@ -401,9 +401,9 @@
         threading.Event().wait(0.005)
 
 
-def wait_for(condition: Callable[[], object]) -> bool:
-    """Wait until a condition is met; returns whether it is met within five seconds."""
-    end = time.monotonic() + 5
+def wait_for(condition: Callable[[], object], seconds: float = 5.0) -> bool:
+    """Wait until a condition is met; returns whether it is met within so many seconds."""
+    end = time.monotonic() + seconds
     while time.monotonic() < end:
         if condition():
             return True
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -24,13 +24,8 @@
 settings.load_profile("repeatable")
 
 
-def pytest_report_header() -> list[str]:
-    """Name the tests that are left out."""
-    return [f"known red, not run: {test}" for test in KNOWN_RED]
-
-
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
-    """Name them again at the end; a quiet run has no header."""
+    """Name the tests that are left out."""
     for test in KNOWN_RED:
         terminalreporter.write_line(f"known red, not run: {test}")
 
--- a/tests/platform/test_service.py
+++ b/tests/platform/test_service.py
@@ -9,7 +9,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
@@ -24,7 +24,7 @@
     CLOSE_TIMEOUT_AT_STOP,
     WRITE_TIMEOUT_AT_STOP,
 )
-from tests.broker.scripted import WAIT, Answer, Client, until
+from tests.broker.scripted import WAIT, Answer, Client, until, wait_for
 from tests.platform.world import Call, Discovery, Node, free_port, profile, request, row
 
 HEAVY = (
@@ -217,14 +217,6 @@
     assert len(lines) == 20
 
 
-def is_soon(condition: Callable[[], bool]) -> bool:
-    """Whether it comes to hold within half a second."""
-    end = time.monotonic() + 0.5
-    while not condition() and time.monotonic() < end:
-        time.sleep(0.002)
-    return condition()
-
-
 def test_no_client_delays_the_exit(tmp_path: Path) -> None:
     """One that rests, one in the midst of its request, one that hardly reads its answers: each was waited for."""
     with started(tmp_path) as found:
@@ -239,7 +231,7 @@
             count = len(taken)
             assert count < 1000
             deaf.sock.sendall(request("list", (0,), x_txn=f"d{count}"))
-            blocked = not is_soon(lambda count=count: len(taken) > count)
+            blocked = not wait_for(lambda count=count: len(taken) > count, 0.5)
         assert len(taken) > 3
         begun = time.monotonic()
         found.process.send_signal(signal.SIGTERM)
