--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -74,7 +74,8 @@
         for folder in ("stepknot", "tests", "deploy", "bench"):
             ignored = shutil.ignore_patterns("__pycache__")
             shutil.copytree(ROOT / folder, copy / folder, ignore=ignored)
-        shutil.copy(ROOT / "pyproject.toml", copy)
+        for file in ("pyproject.toml", "KNOWN-RED.txt"):
+            shutil.copy(ROOT / file, copy)
         return plant(defect, copy) or run_tests(defect, copy)
 
 
