tests: two planted defects of discovery and of the backoff are seen again

Cause: since a second check of the watch's deadline hid a wrong time-out of its reads from the test of its row; the row of for a new address left a broken comment, so that its run ended with a usage error.

Change: a test forces half a line just before the deadline, on a virtual clock; the second check and the mended row have rows of their own.

--- a/bench/planted_defects/decisions.py
+++ b/bench/planted_defects/decisions.py
@@ -22,7 +22,7 @@
     PlantedDefect(
         path="stepknot/platform/service.py",
         original="self.core.post(NO_CHANGES)  # ends the backoff",
-        replacement="pass",
+        replacement="pass  #",
         tests=("tests/platform/test_discovery.py::test_address_change_ends_the_backoff",),
     ),
     PlantedDefect(
--- a/bench/planted_defects/platform.py
+++ b/bench/planted_defects/platform.py
@@ -155,7 +155,15 @@
         original="link.recv(READ_BYTES, max(deadline - self._loop.now, 0.0))",
         replacement="link.recv(READ_BYTES, WATCH_TIMEOUT)",
         tests=(
-            "tests/platform/test_discovery.py::test_incomplete_line_does_not_keep_a_watch_open_and_empty_lines_do",
+            "tests/platform/test_discovery.py::test_half_a_line_just_before_the_deadline_does_not_extend_it",
+        ),
+    ),
+    PlantedDefect(
+        path="stepknot/platform/discovery.py",
+        original="if link.last_received >= deadline:",
+        replacement="if False:",
+        tests=(
+            "tests/platform/test_discovery.py::test_watch_that_sends_without_a_pause_but_no_event_is_given_up_in_time",
         ),
     ),
     PlantedDefect(
--- a/tests/platform/test_discovery.py
+++ b/tests/platform/test_discovery.py
@@ -16,6 +16,7 @@
 from stepknot.interface import ListKind, ListReceived, SetTimer
 from stepknot.net.link import Link
 from stepknot.net.loop import Loop
+from stepknot.net.network import READ
 from stepknot.net.tasks import Coroutine
 from stepknot.platform.config import Address, parse_config
 from stepknot.platform.discovery import (
@@ -247,6 +248,33 @@
             )
 
 
+def test_half_a_line_just_before_the_deadline_does_not_extend_it() -> None:
+    loop = virtual()
+    ours, theirs = socket.socketpair()
+    ours.setblocking(False)
+    link = Link(loop, ours)
+    theirs.sendall(HEAD)
+
+    def connect(*_: object) -> Coroutine:
+        yield from ()
+        return link
+
+    def send_half_a_line() -> None:
+        theirs.sendall(chunk(b" "))
+        link.on_event(READ)
+
+    loop.connect = connect  # type: ignore[assignment]
+    listener = Recorded(loop)
+    discovery = DiscoveryClient(loop, Address("127.0.0.1", 1), "n0", None, 0.0, listener)
+    began = loop.now
+    discovery.open_watch()
+    loop.call_later(FIRST_EVENT_TIMEOUT - 0.1, send_half_a_line)
+    while not listener.failed_at:
+        loop.turn()
+    assert listener.failed_at[0] - began < FIRST_EVENT_TIMEOUT + 0.1
+    theirs.close()
+
+
 def test_watch_that_sends_without_a_pause_but_no_event_is_given_up_in_time() -> None:
     """Its time-out counted only while nothing was there to be read, and the loop read on in one step."""
     loop = virtual()
