simulation: two runs on one machine reserve different ports

Cause, inferred: the ports of a run were drawn and found free, then let go, and its processes bound them seconds later. Three test files plan a run of 32 ports at the same moment, from 22,000 ports. Exit code 2 at the start is a wrong setting, a voter's state of another group, or an address that is taken; the first two were excluded by the fixture, which had run `found` twice on each voter. The log of that run is not kept, so the address itself was not seen.

Change: reserve_ports (stepknot/simulation/ports.py) keeps a socket bound to each port until the process ends; it excludes other reservations, and a listener with SO_REUSEADDR shares the port. All callers of free_ports use it: fleets, scale runs, tests, benches. A process that does not come up is named with the last line of its log.

--- a/bench/admission.py
+++ b/bench/admission.py
@@ -29,7 +29,8 @@
 
 from stepknot.admission.controller import AdmissionController
 from stepknot.admission.model import AdmissionSettings
-from stepknot.simulation.fleet import free_ports, settings_text
+from stepknot.simulation.fleet import settings_text
+from stepknot.simulation.ports import reserve_ports
 
 FOLDER = Path(__file__).parent
 BOXES = 4
@@ -47,7 +48,7 @@
 def running(admission: str, limit: int) -> Iterator[tuple[int, int, int]]:
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
-        port, graph, admin, *ports = free_ports(3 + BOXES)
+        port, graph, admin, *ports = reserve_ports(3 + BOXES)
         (folder / "broker.hcl").write_text(
             settings_text(
                 port=port,
--- a/bench/broker.py
+++ b/bench/broker.py
@@ -50,7 +50,8 @@
 from stepknot.net.tasks import Coroutine
 from stepknot.search.merge import Target, merge, read_shard
 from stepknot.search.request import parse_search
-from stepknot.simulation.fleet import free_ports, settings_text
+from stepknot.simulation.fleet import settings_text
+from stepknot.simulation.ports import reserve_ports
 
 WIDTHS = (1, 5, 12, 30)
 BOXES, CELLS = 6, 6
@@ -72,7 +73,7 @@
     """A broker and its boxes: the broker's port and process id, and the boxes' ports."""
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
-        port, *ports = free_ports(1 + BOXES)
+        port, *ports = reserve_ports(1 + BOXES)
         (folder / "broker.hcl").write_text(settings(port))
         rows = [
             {"address": f"127.0.0.1:{each}", "cell": place % CELLS}
@@ -274,7 +275,7 @@
 
 def bare_rate(width: int, seconds: float) -> float:
     calls = min(width, BOXES)
-    (port,), ports = free_ports(1), free_ports(calls)
+    (port,), ports = reserve_ports(1), reserve_ports(calls)
     boxes = [
         subprocess.Popen(
             [sys.executable, str(FOLDER / "canned.py"), str(each), "0"], stdout=subprocess.PIPE
--- a/bench/fronts.py
+++ b/bench/fronts.py
@@ -35,7 +35,8 @@
 from stepknot.net.http import HttpLimits, ServerParser
 from stepknot.search.merge import Merged, Target
 from stepknot.search.request import parse_search
-from stepknot.simulation.fleet import free_ports, settings_text
+from stepknot.simulation.fleet import settings_text
+from stepknot.simulation.ports import reserve_ports
 
 FOLDER = Path(__file__).parent
 BOXES = CELLS = 6
@@ -90,7 +91,7 @@
     """A broker and its boxes: its two ports and its process id."""
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
-        port, graph, *ports = free_ports(2 + BOXES)
+        port, graph, *ports = reserve_ports(2 + BOXES)
         path = settings(folder, port, graph)
         rows = [
             {"address": f"127.0.0.1:{each}", "cell": place % CELLS}
--- a/bench/planted_defects/simulation.py
+++ b/bench/planted_defects/simulation.py
@@ -3,6 +3,14 @@
 from bench.planted_defects.defect import PlantedDefect
 
 DEFECTS = [
+    PlantedDefect(
+        path="stepknot/simulation/ports.py",
+        original="    _reservations.append(stream)",
+        replacement="    stream.close()",
+        tests=(
+            "tests/simulation/test_ports.py::test_two_runs_that_draw_the_same_ports_reserve_different_ones",
+        ),
+    ),
     PlantedDefect(
         path="stepknot/simulation/subset_cost.py",
         original='random.Random(f"{seed} queries of {number}")',
--- a/stepknot/simulation/fleet.py
+++ b/stepknot/simulation/fleet.py
@@ -6,9 +6,7 @@
 from __future__ import annotations
 
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -22,9 +20,9 @@
 
 from stepknot.simulation import corpus
 from stepknot.simulation.links import Links
+from stepknot.simulation.ports import reserve_ports
 
 READY_WITHIN = 60.0  # seconds for a process to come up
-LISTENING = 10_000, 32_000  # ports: below those that connecting sockets get
 RESTART_AFTER = 3.0  # seconds after which the demo starts a dead box again, cold
 
 SETTINGS = """\
@@ -196,28 +194,6 @@
     return f"{kind} {{\n{body}}}\n\n" if keys else ""
 
 
-def free_ports(count: int, host: str = "127.0.0.1") -> list[int]:
-    """Ports that were free a moment ago, for connections and for datagrams, all different, and none that a connecting
-    socket may be given meanwhile."""
-    chance = random.SystemRandom()
-    ports: set[int] = set()
-    while len(ports) < count:
-        port = chance.randrange(*LISTENING)
-        if port not in ports and is_free(host, port):
-            ports.add(port)
-    return list(ports)
-
-
-def is_free(host: str, port: int) -> bool:
-    with socket.socket() as stream, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
-        try:
-            stream.bind((host, port))
-            datagrams.bind((host, port))
-        except OSError:
-            return False
-    return True
-
-
 @dataclass(slots=True)
 class Box:
     number: int
@@ -295,7 +271,7 @@
         **more: Any,
     ) -> Fleet:
         """`zones`: a letter for each; a cell's boxes are spread over them."""
-        ports = free_ports(4 * brokers + 2 * boxes)
+        ports = reserve_ports(4 * brokers + 2 * boxes)
         fronts = [port + each for each in range(brokers)] if port else ports[:brokers]
         admins = (
             [port + 100 + each for each in range(brokers)] if port else ports[brokers : 2 * brokers]
@@ -400,10 +376,13 @@
 
     # --- processes
 
+    def log_of(self, process: str) -> Path:
+        return self.folder / f"{process}.log"
+
     def spawn(
         self, *words: str, log: str, program: tuple[str, ...] = ("-m", "stepknot")
     ) -> subprocess.Popen[bytes]:
-        with open(self.folder / f"{log}.log", "ab") as errors:
+        with open(self.log_of(log), "ab") as errors:
             return subprocess.Popen(
                 [sys.executable, *program, *words],
                 stdout=subprocess.PIPE,
@@ -449,7 +428,7 @@
 
     def box_ready(self, box: Box) -> None:
         """Blocks until the box serves, then lists it."""
-        read_ready(box.process, f"box {box.number}")
+        read_ready(box.process, f"box {box.number}", self.log_of(f"box-{box.number}"))
         box.up_since = time.time() if box.up_since else 0.0
         box.listed, box.draining = True, False
 
@@ -467,7 +446,8 @@
         for broker in self.brokers:
             self.start_broker(broker)
         for broker in self.brokers:
-            read_ready(broker.process, f"broker {broker.number}")
+            name = f"broker-{broker.number}"
+            read_ready(broker.process, f"broker {broker.number}", self.log_of(name))
 
     def stop(self) -> None:
         if self.links is not None:
@@ -488,19 +468,32 @@
                 process.stdout.close()
 
 
-def read_ready(process: subprocess.Popen[bytes] | None, who: str) -> dict[str, Any]:
-    """The one line that a process prints once it serves."""
+def read_ready(
+    process: subprocess.Popen[bytes] | None, who: str, log: Path | None = None
+) -> dict[str, Any]:
+    """The one line that a process prints once it serves.
+
+    Raises:
+        RuntimeError: it ended or did not serve in time; the text has the end of its log.
+    """
     import select
 
     assert process is not None and process.stdout is not None
     ready, _, _ = select.select([process.stdout], [], [], READY_WITHIN)
     line = process.stdout.readline() if ready else b""
     if not line:
-        raise RuntimeError(f"{who} did not come up; its log in the run's folder says why")
+        raise RuntimeError(f"{who} did not come up: {last_line(log)}")
     found: dict[str, Any] = orjson.loads(line)
     return found
 
 
+def last_line(log: Path | None) -> str:
+    """Of a process's log, which begins with the reason where it could not start."""
+    lines = log.read_text(errors="replace").split("\n") if log and log.exists() else []
+    written = [each for each in lines if each]
+    return written[-1] if written else "its log in the run's folder says why"
+
+
 def run_demo(
     port: int,
     seconds: float | None,
--- a/stepknot/simulation/scale_fleet.py
+++ b/stepknot/simulation/scale_fleet.py
@@ -25,10 +25,10 @@
     Broker,
     Fleet,
     block_text,
-    free_ports,
     read_ready,
     settings_text,
 )
+from stepknot.simulation.ports import reserve_ports
 from stepknot.simulation.scale_members import MembersSpec
 from stepknot.simulation.scale_nodes import NodeSpec, NodesSpec
 from stepknot.simulation.scale_plan import CELLS, DEFAULT, ZONES, ScalePlan, chance, zone_of
@@ -77,7 +77,7 @@
     def of(cls, plan: ScalePlan) -> ScaleFleet:
         draw = random.SystemRandom()
         host = f"127.{draw.randrange(1, 255)}.{draw.randrange(256)}.{draw.randrange(1, 255)}"
-        ports = free_ports(4 * plan.real)
+        ports = reserve_ports(4 * plan.real)
         keys = {
             "period": f"{plan.period}s",
             "pause": f"{plan.pause}s",
@@ -94,7 +94,7 @@
         ]
         boxes = [
             Box(number, port, 0, number % CELLS, zone_of(number // CELLS), host=host)
-            for number, port in enumerate(free_ports(plan.nodes, host))
+            for number, port in enumerate(reserve_ports(plan.nodes, host))
         ]
         found = cls(
             plan.folder,
--- a/tests/admission/test_sockets.py
+++ b/tests/admission/test_sockets.py
@@ -24,7 +24,8 @@
 
 from stepknot.admission.model import TrustLevel
 from stepknot.admission.proxy_protocol import SIGNATURE
-from stepknot.simulation.fleet import free_ports, read_ready, settings_text
+from stepknot.simulation.fleet import read_ready, settings_text
+from stepknot.simulation.ports import reserve_ports
 from tests.broker.scripted import WAIT, Call, Client, Running, ScriptedNode, broker, until
 from tests.graphql.asking import JSON
 from tests.graphql.test_hard_cases import set_limits
@@ -563,7 +564,7 @@
 def broker_with_descriptor_limit(
     folder: Path, limit: int, **changed: Any
 ) -> Iterator[tuple[int, int, subprocess.Popen[bytes], Path]]:
-    port, graph, admin = free_ports(3)
+    port, graph, admin = reserve_ports(3)
     nodes = [ScriptedNode(), ScriptedNode()]
     (folder / "broker.hcl").write_text(
         settings_text(
@@ -590,7 +591,7 @@
             preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit)),
         )
     try:
-        read_ready(process, "broker")
+        read_ready(process, "broker", log)
         yield port, admin, process, log
     finally:
         process.terminate()
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -141,5 +141,5 @@
         for name in names:
             self.fleet.start_broker(self[name])
         for name in names:
-            read_ready(self[name].process, name)
+            read_ready(self[name].process, name, self.fleet.log_of(f"broker-{self[name].number}"))
         self.stopped -= set(names)
--- a/tests/subsets/test_driver.py
+++ b/tests/subsets/test_driver.py
@@ -31,7 +31,8 @@
     Settings,
 )
 from stepknot.net.loop import Loop
-from stepknot.simulation.fleet import free_ports, settings_text
+from stepknot.simulation.fleet import settings_text
+from stepknot.simulation.ports import reserve_ports
 from stepknot.subsets.model import SubsetSettings
 
 CLOCK_STEP = 0.0001  # seconds by which the clock advances each time it is read
@@ -499,7 +500,7 @@
     tmp_path: Path,
 ) -> None:
     """With `holders` = 2, one of 4 brokers uses half of ten replicas, and a single broker uses all."""
-    port, admin, graph = free_ports(3)
+    port, admin, graph = reserve_ports(3)
     rows = [
         {"address": f"10.0.{cell}.{number}:9200", "zone": ZONES[number % 5], "cell": cell}
         for cell in range(4)
