decisions: a restarted server's earlier capsule is no longer watched

Cause: a restarted server's new capsule shares the set of calls of the earlier one. The earlier one's response timer took the new process's calls for its own. With its last part answered, unanswered_since is infinite, and so was the timer. With its last part lost, it was set again after each threshold while the new process had calls (related path).

Evidence: the traceback is in the encoding of SetTimer; the timer's capsule has up_since 0, unanswered_since inf and one call, which belongs to a capsule that started at 368901.05. The infinite load report, share of losses and wait were excluded by it.

Change: a capsule without a call of its own in flight is not watched any longer.

Result: the two cases of the new test fail before (a timer that is never due; a timer set again) and pass; the tests' driver rejects each infinite timer.

--- a/bench/planted_defects/decisions.py
+++ b/bench/planted_defects/decisions.py
@@ -209,6 +209,22 @@
             "tests/decisions/test_outlier_detection.py::test_parts_lost_in_one_call_are_one_sample_of_its_connection",
         ),
     ),
+    PlantedDefect(
+        path="stepknot/decisions/hedging.py",
+        original="if not capsule.calls or capsule.unanswered_since == math.inf:",
+        replacement="if not capsule.calls:",
+        tests=(
+            "tests/decisions/test_hedging.py::test_a_restarted_server_is_watched_for_its_new_process_only",
+        ),
+    ),
+    PlantedDefect(
+        path="stepknot/decisions/hedging.py",
+        original="if not attempts:",
+        replacement="if False:",
+        tests=(
+            "tests/decisions/test_hedging.py::test_a_restarted_server_is_watched_for_its_new_process_only",
+        ),
+    ),
     PlantedDefect(
         path="stepknot/decisions/hedging.py",
         original="if part not in query.parts or part.is_served:",
--- a/bench/trace_packages/decisions.py
+++ b/bench/trace_packages/decisions.py
@@ -46,7 +46,7 @@
     Watch,
 )
 
-EXPECTED = "58e5fa5ee597f0d9ef2a89c9146f5a04d04a03911f324320c19a98faa49064cc"
+EXPECTED = "cd5d70ce14251d173fa9dd6444fb4f73acbbff3acdbb29b2735fc455bd6e23d1"
 
 START = 500.0  # start of the virtual clock, in seconds
 STRAY_SHARE = 0.02  # share of queries that are preceded by events with unknown ids
--- a/stepknot/decisions/hedging.py
+++ b/stepknot/decisions/hedging.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Mapping
 from functools import partial
 
@@ -95,15 +96,22 @@
             self._send_again(query, part, HEDGE_SHARE)
 
     def _on_no_response(self, capsule: Capsule) -> None:
-        """Hedge the parts at an unresponsive server: their answers would be late after even a short pause."""
+        """Hedge the parts at an unresponsive server: their answers would be late after even a short pause.
+
+        The capsule of a server that has restarted shares its calls with the new capsule. If none of them is
+        its own, it is not watched any longer.
+        """
         capsule.has_response_timer = False
-        if not capsule.calls:
+        if not capsule.calls or capsule.unanswered_since == math.inf:
             return
         unanswered_for = self._turn.now - capsule.unanswered_since
         if unanswered_for < self._outliers.unresponsive.threshold() - EPSILON:
             self.watch_server(capsule, capsule.unanswered_since)
             return
-        for attempt in [each for each in self._in_flight.values() if each.capsule is capsule]:
+        attempts = [each for each in self._in_flight.values() if each.capsule is capsule]
+        if not attempts:
+            return
+        for attempt in attempts:
             query, part = attempt.query, attempt.part
             is_unhedged = (
                 part in query.parts and not part.is_served and part.attempts_in_flight == 1
--- a/tests/decisions/test_hedging.py
+++ b/tests/decisions/test_hedging.py
@@ -6,12 +6,14 @@
 
 from stepknot.decisions.capsule import BETA_SHARE
 from stepknot.decisions.records import Call
-from stepknot.interface import Answer, Outcome, Refuse, SetTimer, TimerDue
+from stepknot.interface import Answer, ListKind, Outcome, Refuse, SetTimer, TimerDue
 from tests.decisions.steps import next_timer, set_means
-from tests.helpers import FLEET, Driver
+from tests.helpers import FLEET, Driver, entry
 
 pytestmark = pytest.mark.cpu_only
 
+WARM_AFTER = 60.0  # seconds after a start; the server then takes any share
+
 
 def test_overdue_part_is_hedged_at_another_replica() -> None:
     driver = Driver(fleet=FLEET[:2])
@@ -112,3 +114,28 @@
     driver.at(driver.now + 0.1)
     driver.fire()
     assert [send.server for send in driver.sends()] == [other]
+
+
+@pytest.mark.parametrize("is_lost", [False, True])
+def test_a_restarted_server_is_watched_for_its_new_process_only(is_lost: bool) -> None:
+    """The earlier process's timer was set again while the new one had calls: for a time that never comes where its
+    last part had been answered, and the simulator's link failed on it; where that was lost, after each threshold.
+    """
+    driver = Driver(fleet=FLEET[:1])
+    set_means(driver)
+    earlier = driver.aggregator.capsules["s0a"]
+    (part,) = driver.parts[driver.query("all", [0])]
+    if not is_lost:
+        driver.end(part, elapsed=0.001)
+    driver.list([entry("s0a", up_since=driver.now - WARM_AFTER)], ListKind.CHANGES)
+    driver.query("all", [0])
+    if is_lost:
+        driver.end(part, Outcome.RESET)
+    new = driver.aggregator.capsules["s0a"]
+    assert new is not earlier and new.calls and new.calls is earlier.calls
+    assert earlier.has_response_timer
+    for _ in range(4):
+        driver.at(driver.now + driver.aggregator.outliers.unresponsive.threshold())
+        driver.fire()
+    assert new.calls and new.has_response_timer
+    assert not earlier.has_response_timer
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -28,6 +28,7 @@
     Send,
     ServerEntry,
     ServerState,
+    SetTimer,
     Settings,
     TimerDue,
 )
@@ -247,7 +248,9 @@
     # --- the six rules
 
     def check(self, action: Action) -> None:
-        if isinstance(action, Send):
+        if isinstance(action, SetTimer):
+            assert math.isfinite(action.at), "a timer that is never due"
+        elif isinstance(action, Send):
             self.check_send(action)
         elif isinstance(action, Answer):
             self.check_answer(action)
