--- a/tests/leases/test_processes.py
+++ b/tests/leases/test_processes.py
@@ -251,7 +251,6 @@
 
 
 @pytest.mark.measures_time
-@pytest.mark.measures_time  # half a lease: other processes beside it take longer to have their turn
 def test_a_holder_that_stops_at_sigterm_hands_over_at_once(brokers: LeaseBrokers) -> None:
     first = brokers.wait_for_holder()
     brokers.end(first, by=signal.SIGTERM)
