simulation: one method waits until a broker of a fleet serves

Fleet.broker_ready, beside box_ready, now does it for all, and knows the log's name; the processes of a scale run pass theirs, too. Behaviour is as before where the broker comes up.

--- a/bench/mixed_fleet.py
+++ b/bench/mixed_fleet.py
@@ -24,7 +24,7 @@
 
 sys.path.insert(0, str(Path(__file__).parents[1]))
 
-from stepknot.simulation.fleet import Broker, Fleet, read_ready
+from stepknot.simulation.fleet import Broker, Fleet
 
 ROOT = Path(__file__).parents[1]
 VOTERS = ["b0", "b1", "b2"]
@@ -181,7 +181,7 @@
             process.stdout.close()
         fleet.exchanged.add(broker.number)
         fleet.start_broker(broker)
-        read_ready(broker.process, broker.name)
+        fleet.broker_ready(broker)
 
 
 def check(fleet: MixedFleet) -> None:
--- a/stepknot/simulation/day.py
+++ b/stepknot/simulation/day.py
@@ -24,7 +24,7 @@
 from stepknot.nodes.connection_pool import ConnectionPool
 from stepknot.nodes.exchange import Exchange
 from stepknot.simulation import clients, corpus
-from stepknot.simulation.fleet import Box, Broker, Fleet, read_ready, readable
+from stepknot.simulation.fleet import Box, Broker, Fleet, readable
 from stepknot.simulation.links import Rule
 from stepknot.simulation.script import BOX_FAULTS, Script, Step
 from stepknot.simulation.socket_recorder import Tap
@@ -204,7 +204,7 @@
         self.fleet.start_broker(broker)
         while not readable(broker.process):
             yield from self.loop.sleep(0.05)
-        read_ready(broker.process, f"broker {broker.number}")
+        self.fleet.broker_ready(broker)
         self.events.note("broker_up", port=broker.port)
 
     def do_stall_broker(self, step: Step) -> None:
--- a/stepknot/simulation/fleet.py
+++ b/stepknot/simulation/fleet.py
@@ -432,6 +432,11 @@
         box.up_since = time.time() if box.up_since else 0.0
         box.listed, box.draining = True, False
 
+    def broker_ready(self, broker: Broker) -> None:
+        """Blocks until the broker serves."""
+        name = f"broker {broker.number}"
+        read_ready(broker.process, name, self.log_of(f"broker-{broker.number}"))
+
     def start(self, words: Callable[[str], None]) -> None:
         self.folder.mkdir(parents=True, exist_ok=True)
         self.write_settings()
@@ -446,8 +451,7 @@
         for broker in self.brokers:
             self.start_broker(broker)
         for broker in self.brokers:
-            name = f"broker-{broker.number}"
-            read_ready(broker.process, f"broker {broker.number}", self.log_of(name))
+            self.broker_ready(broker)
 
     def stop(self) -> None:
         if self.links is not None:
@@ -488,7 +492,7 @@
 
 
 def last_line(log: Path | None) -> str:
-    """Of a process's log, which begins with the reason where it could not start."""
+    """Of a process's log: the reason where it could not start."""
     lines = log.read_text(errors="replace").split("\n") if log and log.exists() else []
     written = [each for each in lines if each]
     return written[-1] if written else "its log in the run's folder says why"
--- a/stepknot/simulation/scale_fleet.py
+++ b/stepknot/simulation/scale_fleet.py
@@ -182,7 +182,7 @@
             box.process, box.up_since = host.process, 1.0 if cold else 0.0
 
     def nodes_ready(self, host: NodesHost) -> None:
-        read_ready(host.process, host.name)
+        read_ready(host.process, host.name, self.log_of(host.name))
         host.listed = True
         for box in host.boxes:
             box.up_since = time.time() if box.up_since else 0.0
@@ -192,7 +192,7 @@
         host.process = self.spawn_host(host.name, "scale_members", self.members_spec(host))
 
     def members_ready(self, host: MembersProcess) -> None:
-        host.control = read_ready(host.process, host.name)["control"]
+        host.control = read_ready(host.process, host.name, self.log_of(host.name))["control"]
 
     def start(self, words: Callable[[str], None]) -> None:
         self.folder.mkdir(parents=True, exist_ok=True)
@@ -221,7 +221,7 @@
         for broker in self.brokers:
             self.start_broker(broker)
         for broker in self.brokers:
-            read_ready(broker.process, broker.name)
+            self.broker_ready(broker)
 
     def processes(self) -> list[Started]:
         found: list[Any] = [
--- a/stepknot/simulation/scale_run.py
+++ b/stepknot/simulation/scale_run.py
@@ -25,7 +25,7 @@
 from stepknot.nodes.exchange import Exchange
 from stepknot.simulation.audit import Records, audit
 from stepknot.simulation.day import ADMISSION, Day
-from stepknot.simulation.fleet import Broker, read_ready, readable
+from stepknot.simulation.fleet import Broker, readable
 from stepknot.simulation.scale_figures import (
     OWNERS,
     BrokerState,
@@ -402,7 +402,7 @@
                 process.stdout.close()
             self.fleet.start_broker(broker)
             yield from self.wait_ready(broker.process)
-            read_ready(broker.process, broker.name)
+            self.fleet.broker_ready(broker)
             self.events.note("broker_up", port=broker.port)
             yield from self.settle("restart", self.size)
             took = self.measured.times["restart"]
--- a/tests/membership/test_processes.py
+++ b/tests/membership/test_processes.py
@@ -16,7 +16,7 @@
 from stepknot.cli.admin_client import query_admin
 from stepknot.simulation.audit import Records, audit
 from stepknot.simulation.day import run_day
-from stepknot.simulation.fleet import Fleet, read_ready
+from stepknot.simulation.fleet import Fleet
 from stepknot.simulation.links import Rule
 from stepknot.simulation.script import Script, Step
 from tests.processes import Brokers
@@ -209,7 +209,7 @@
     (brokers.fleet.folder / "broker-8.hcl").write_text(text)
     brokers.fleet.start_broker(spare)
     try:
-        read_ready(spare.process, "the process that takes over the name")
+        brokers.fleet.broker_ready(spare)
         brokers.until(lambda: "b2" in brokers.alive("b0"))
         brokers.go_on("b2")
         brokers.until(lambda: bool(brokers.view("b2")["stepped_aside"]))
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -12,7 +12,7 @@
 import orjson
 
 from stepknot.cli.admin_client import query_admin
-from stepknot.simulation.fleet import Broker, Fleet, read_ready
+from stepknot.simulation.fleet import Broker, Fleet
 from stepknot.simulation.links import Links
 
 SLOW = 30.0  # seconds for what takes a few, on a machine with much else to do
@@ -141,5 +141,5 @@
         for name in names:
             self.fleet.start_broker(self[name])
         for name in names:
-            read_ready(self[name].process, name, self.fleet.log_of(f"broker-{self[name].number}"))
+            self.fleet.broker_ready(self[name])
         self.stopped -= set(names)
