tests: the decision that raises is the one on the arriving query

Cause: a race in the test. The next decision raised, whatever it was about; a timer of the held query that was due before the request came took the error, and the request was then sent to a node that holds it.

Change: the decision raises once the arriving query is among its events. All assertions stay.

--- a/tests/platform/test_hard_cases.py
+++ b/tests/platform/test_hard_cases.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from stepknot.interface import Action, Event, Outcome
+from stepknot.interface import Action, Event, Outcome, QueryArrived
 from stepknot.nodes.codec import PartReply
 from stepknot.nodes.transport import OutgoingAttempt
 from stepknot.platform.frames import CallPart
@@ -290,6 +290,8 @@
         decide = core.decide
 
         def raise_once(now: float, events: list[Event]) -> list[Action]:
+            if not any(isinstance(event, QueryArrived) for event in events):
+                return decide(now, events)  # a timer of the held query
             core.decide = decide
             raise RuntimeError("broken")
 
