platform: rejected requests, ended connections and the process's memory are logged

Change: clients_rejected sums up rejections by status and ended connections by reason, at most once a second, with the connections that are open and the resident memory; broker_started has the limits that the process was given; request_rejected has the request's id, and a second request of an open id is logged as well.

--- a/stepknot/net/connection.py
+++ b/stepknot/net/connection.py
@@ -158,6 +158,7 @@
             self.set_deadline(LINGER_TIMEOUT)
         else:
             self.server.timed_out_count += 1
+            self.server.end_counts["idle"] += 1
             self.half_close()
 
     def _has_unread_bytes(self) -> bool:
@@ -171,6 +172,7 @@
         """Answer a request that does not arrive in time, and end the connection."""
         error = HttpError(408, "the request took too long to arrive")
         self.server.timed_out_count += 1
+        self.server.end_counts["slow_request"] += 1
         try:
             self.link.send_now(encode_response(self.server.on_error(error), None, True))
         except OSError:  # the peer disconnected, and the poll has not reported it yet
@@ -281,6 +283,7 @@
         if server.is_closed and self.last_answered:
             self.half_close_if_idle()
         if self.has_overrun:
+            self.server.end_counts["overrun"] += 1
             self.half_close()
         if self.is_half_closed:
             return False
@@ -319,6 +322,7 @@
             count += 1
             if self.link.disconnected():  # most of a backlog after a stall
                 self.server.abandoned_count += len(requests)
+                self.server.end_counts["disconnected"] += 1
                 return False
             request = requests.popleft()
             request.arrived = arrived
--- a/stepknot/net/server.py
+++ b/stepknot/net/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -35,6 +36,7 @@
         rejected_count: connections that were ended or not accepted to stay below the bounds.
         timed_out_count: connections that ended by a time-out.
         abandoned_count: requests whose client disconnected before their turn came.
+        end_counts: connections that were ended here, by reason.
     """
 
     def __init__(
@@ -62,6 +64,7 @@
         self.rejected_count = 0
         self.timed_out_count = 0
         self.abandoned_count = 0
+        self.end_counts: Counter[str] = Counter()
         self.listener: Listener = loop.listen(host, port, self._on_accept)
 
     @property
@@ -82,6 +85,7 @@
         self.rejected_count += is_full
         max_rejected = self.max_connections * (1 + REJECTED_FRACTION)
         if is_full and len(self.connections) >= max_rejected:
+            self.end_counts["over_limit"] += 1
             link.close()
         else:
             self.connections.add(Connection(self, link, peer, is_over_limit=is_full))
@@ -92,6 +96,7 @@
         while len(self.idle) > self.max_idle:
             longest = next(iter(self.idle))
             del self.idle[longest]
+            self.end_counts["too_many_idle"] += 1
             longest.half_close_if_idle()
 
     def evict(self) -> bool:
@@ -111,6 +116,7 @@
             is_waiting = not each.unparsed and each.link.peek() is None
             if each.is_half_closed or is_waiting:
                 self.rejected_count += 1
+                self.end_counts["evicted"] += 1
                 each.link.close()
                 self.connections.discard(each)
                 return True
--- a/stepknot/platform/requests.py
+++ b/stepknot/platform/requests.py
@@ -28,6 +28,7 @@
 MAX_ROUNDING = 1e-3  # by which the sum of weights may differ from 1
 MAX_TEXT_BYTES = 32 * 1024  # each part carries the text
 JSON = "application/json"
+IDENTIFIER_HEADER = "x-txn"  # a query's identifier
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,7 +56,7 @@
         raise BadRequestError(404, "no such class of query")
     if request.method != "POST":
         raise BadRequestError(405, "a query is a POST")
-    name = headers.get("x-txn", "")
+    name = headers.get(IDENTIFIER_HEADER, "")
     if not IDENTIFIER.match(name):
         raise BadRequestError(400, "x-txn: expected an id of 64 letters and digits at the most")
     key = _read_idempotency_key(headers, query_class)
--- a/stepknot/platform/service.py
+++ b/stepknot/platform/service.py
@@ -28,12 +28,14 @@
 from stepknot.net.server import Server
 from stepknot.net.tasks import Coroutine
 from stepknot.platform import requests
+from stepknot.platform.client_log import REPORT_INTERVAL, ClientLog
 from stepknot.platform.config import Config
 from stepknot.platform.connection_pool import ConnectionPool
 from stepknot.platform.discovery import DiscoveryClient
 from stepknot.platform.endpoint_list import WatchEvent, parse_watch_event, to_list_event
 from stepknot.platform.errors import BadRequestError, MalformedInputError
 from stepknot.platform.nodes import Nodes
+from stepknot.platform.process_memory import read_resident_bytes
 
 # Bounds of the protocol, the same in every deployment. A client's connection may be ended after two
 # seconds without a request. It is ended soon after: clients hold a limited number of connections, and
@@ -58,7 +60,7 @@
 CLOSE_TIMEOUT_AT_STOP = 0.2  # seconds for connections that are half-closed
 RELOAD_RETRY_DELAYS = (0.1, 0.2, 0.4, 0.8)  # seconds: a file may be half written at SIGHUP
 STOP_POLL_INTERVAL = 0.01  # seconds
-MAX_LOGGED_PATH = 80
+MAX_LOGGED_TEXT = 80
 OK, CONFLICT, SERVICE_UNAVAILABLE = 200, 409, 503
 NO_CHANGES = ListReceived(ListKind.CHANGES)
 
@@ -113,6 +115,8 @@
         self.catalog = requests.Catalog(config.settings.classes, config.shard_count)
         self.open_names: set[str] = set()
         self.server = self._make_server()
+        self.client_log = ClientLog(self.server, log)
+        loop.call_every(REPORT_INTERVAL, self.client_log.report)
 
     def _make_nodes(self) -> Nodes:
         config = self.config
@@ -198,10 +202,12 @@
         try:
             ask = requests.parse_query(request, self.catalog, self._arrival_time(request))
         except BadRequestError as error:
-            self._reject_request(error.status, error.reason, request.path[:MAX_LOGGED_PATH])
+            self._reject_request(error.status, error.reason, request)
             return requests.build_error_response(error.status, error.reason)
         if ask.name in self.open_names:
-            return requests.build_error_response(CONFLICT, "a request of this id is in work")
+            reason = "a request of this id is in work"
+            self._reject_request(CONFLICT, reason, request)
+            return requests.build_error_response(CONFLICT, reason)
         self.open_names.add(ask.name)
         try:
             self.core.submit(ask)
@@ -224,23 +230,41 @@
     def on_http_error(self, error: HttpError) -> Response:
         """The response to what is not a request, or finds no capacity."""
         limits = self.config.settings.limits
-        if error.status == SERVICE_UNAVAILABLE and limits.retry_after:
+        if error.status == SERVICE_UNAVAILABLE:
             # The request is good, there is no capacity for it.
-            headers = requests.retry_after_headers(limits.max_retry_after)
+            self.client_log.count_rejection(error.status)
+            seconds = limits.max_retry_after if limits.retry_after else 0.0
+            headers = requests.retry_after_headers(seconds)
             return requests.build_error_response(error.status, error.reason, headers)
         self._reject_request(error.status, error.reason)
         return requests.build_error_response(error.status, error.reason)
 
-    def _reject_request(self, status: int, reason: str, path: str = "") -> None:
+    def _reject_request(self, status: int, reason: str, request: Request | None = None) -> None:
         self.core.counts["bad_requests"] += 1
-        self.log("request_rejected", status=status, reason=reason, path=path)
+        self.client_log.count_rejection(status)
+        name = request.headers.get(requests.IDENTIFIER_HEADER, "") if request is not None else ""
+        path = request.path if request is not None else ""
+        self.log(
+            "request_rejected",
+            status=status,
+            reason=reason,
+            path=path[:MAX_LOGGED_TEXT],
+            query=name[:MAX_LOGGED_TEXT],
+        )
 
     # --- the process
 
     def run(self) -> int:
         """Serve until SIGTERM; returns the exit code."""
         host = self.config.listen_address.host
-        self.log("broker_started", address=f"{host}:{self.server.port}", broker=self.config.name)
+        self.log(
+            "broker_started",
+            address=f"{host}:{self.server.port}",
+            broker=self.config.name,
+            memory_bytes=self.config.memory_bytes,
+            resident_bytes=read_resident_bytes(),
+            descriptors=self.config.max_descriptors,
+        )
         self.run_loop(self.reload)
         self.log("broker_stopped", **self._counts())
         return 0
