net: an ended or half-closed connection drops what it received, and its timers

Cause: a half-closed connection kept what had arrived of its request until its client closed it or 2 s had passed, and the timer for the deadline kept every ended connection for up to 2.05 s.

Change: Connection drops parsed and unparsed bytes when it is half-closed and when it ends, and cancels its timers.

--- a/bench/planted_defects/net.py
+++ b/bench/planted_defects/net.py
@@ -121,8 +121,8 @@
     ),
     PlantedDefect(
         path="stepknot/net/connection.py",
-        original="if left > 0:\n            self.is_timer_set",
-        replacement="if True:\n            self.is_timer_set",
+        original="if left > 0:\n            self._check_deadline_at",
+        replacement="if True:\n            self._check_deadline_at",
         tests=(
             "tests/broker/test_client_requests.py::test_slow_senders_get_a_timeout_error_and_are_closed",
         ),
--- a/bench/trace_packages/net.py
+++ b/bench/trace_packages/net.py
@@ -25,7 +25,7 @@
 from stepknot.net.server import Server
 from stepknot.net.tasks import Coroutine, Future
 
-EXPECTED = "d95d6317406e0697c6028cbe318826ad2683e7ac92f94c8aeb2fdb08f7e3c652"
+EXPECTED = "3d8174648c62d4bdfc7ba4bd2f346ad00d3d40d3ff602d1670250c810e9bc5b4"
 LIMITS = HttpLimits(
     header=500, url=100, body=3000, first_byte=1.0, body_time=1.5, idle=2.0, write=0.8
 )
--- a/stepknot/net/connection.py
+++ b/stepknot/net/connection.py
@@ -28,7 +28,7 @@
 from stepknot.net.http import Request, Response, ServerParser, encode_response
 from stepknot.net.link import Link
 from stepknot.net.read_ahead import read_ahead
-from stepknot.net.tasks import NEXT_TURN, Coroutine, Park
+from stepknot.net.tasks import NEXT_TURN, Coroutine, Park, Timer
 
 if TYPE_CHECKING:
     from stepknot.net.server import Server
@@ -55,6 +55,8 @@
         disconnect_callback: called once when the client disconnects during a request.
         deadline: when the client must have sent what it is expected to send, by the loop's clock.
         is_timer_set: whether the timer for the deadline is scheduled.
+        deadline_timer: the last one for the deadline.
+        linger_timer: closes the connection some time after it was half-closed.
         is_read_ahead_scheduled: whether what comes behind a request is read on in the next turn.
         is_progress_scheduled: whether a check of how fast the request arrives is scheduled.
         request_started: when the request that is arriving began, or the connection was accepted.
@@ -64,6 +66,7 @@
 
     __slots__ = (
         "deadline",
+        "deadline_timer",
         "disconnect_callback",
         "has_overrun",
         "is_busy",
@@ -73,6 +76,7 @@
         "is_read_ahead_scheduled",
         "is_timer_set",
         "last_answered",
+        "linger_timer",
         "link",
         "number",
         "parser",
@@ -108,6 +112,8 @@
         self.parser = ServerParser(server.limits)
         self.disconnect_callback: Callable[[], None] | None = None
         self.is_timer_set = False
+        self.deadline_timer: Timer | None = None
+        self.linger_timer: Timer | None = None
         self.is_progress_scheduled = False
         self.is_read_ahead_scheduled = False
         link.on_peer_closed = self.on_peer_closed
@@ -136,8 +142,11 @@
         """Expect the next step of the client within this time."""
         self.deadline = self.server.loop.now + seconds
         if not self.is_timer_set:
-            self.is_timer_set = True
-            self.server.loop.call_at(self.deadline, self.check_deadline)
+            self._check_deadline_at(self.deadline)
+
+    def _check_deadline_at(self, at: float) -> None:
+        self.is_timer_set = True
+        self.deadline_timer = self.server.loop.call_at(at, self.check_deadline)
 
     def check_deadline(self) -> None:
         """End the connection where its deadline passed; called by its timer."""
@@ -150,8 +159,7 @@
         elif self.parser.started and self._has_unread_bytes():
             left = max(left, CAPACITY_INTERVAL)
         if left > 0:
-            self.is_timer_set = True
-            self.server.loop.call_later(left, self.check_deadline)
+            self._check_deadline_at(self.server.loop.now + left)
         elif self.parser.started:
             self.reject_slow_request()
         elif self.link.peek():  # received just now, and not read yet
@@ -187,13 +195,19 @@
         if self.is_half_closed or self.link.closed:
             return
         self.is_half_closed = True
+        self._drop_request()
         self.server.idle.pop(self, None)
         try:
             self.link.sock.shutdown(socket.SHUT_WR)
         except OSError:  # the peer disconnected
             self.link.close()
             return
-        self.server.loop.call_later(LINGER_TIMEOUT, self.link.close)
+        self.linger_timer = self.server.loop.call_later(LINGER_TIMEOUT, self.link.close)
+
+    def _drop_request(self) -> None:
+        """Free what was received: it makes no request any more."""
+        self.parser.clear()
+        self.unparsed = b""
 
     def half_close_if_idle(self) -> None:
         """End the connection unless a request is in progress, is arriving or waits unread."""
@@ -231,10 +245,13 @@
     def _on_end(self) -> None:
         self.on_peer_closed()
         self.link.close()
-        # These are reference cycles, with the link and the parser.
+        self._drop_request()
+        for timer in (self.deadline_timer, self.linger_timer):
+            if timer is not None:
+                timer.cancel()
+        # These are reference cycles, with the link.
         self.link.on_peer_closed = None
         self.link.on_readable = None
-        self.parser.parser = None
         self.server.connections.discard(self)
         self.server.idle.pop(self, None)
         if self.server.gate is not None:
--- a/stepknot/net/http.py
+++ b/stepknot/net/http.py
@@ -194,6 +194,7 @@
         self.expects = False
         self.rejection: Rejection | None = None
         self.line_bound = LineBound()
+        self._begin()
 
     def feed(self, data: bytes) -> None:
         """Take bytes as they were received.
@@ -217,6 +218,13 @@
         if self.started and head_size > self.limits.header + self.limits.url:
             raise HttpError(431, f"request header is over {self.limits.header} bytes")
 
+    def clear(self) -> None:
+        """Drop everything that was received, and the httptools parser, which refers to this object in turn."""
+        self.parser = None
+        self.requests.clear()
+        self._begin()
+        self.started = False
+
     def _begin(self) -> None:
         self.url = b""
         self.size = 0
