net: requests behind the first are parsed when their turn comes, and a step is bounded in time

Callers saw memory and the answers of other clients suffer from one connection with thousands of small requests: 64 KiB of them, parsed at once, took 2 MB; 600 such connections 393 MB.

Cause: ServerParser parsed all that was read, and a step of a connection was bounded by a count of 16 answers, whatever each of them cost.

Change: Connection feeds the parser pieces of 512 bytes until a request is complete, and keeps the rest unparsed; the gate's reservation follows.

--- a/bench/planted_defects/net.py
+++ b/bench/planted_defects/net.py
@@ -13,9 +13,9 @@
         ),
     ),
     PlantedDefect(
-        path="stepknot/net/connection.py",
-        original="        except OSError:  # the peer disconnected, and the poll has not reported it yet\n",
-        replacement="        except TimeoutError:\n",
+        path="stepknot/net/rejections.py",
+        original="    except OSError:  # the peer disconnected, and the poll has not reported it yet\n",
+        replacement="    except TimeoutError:\n",
         tests=(
             "tests/net/test_server.py::test_client_that_resets_between_the_poll_and_its_timeout_does_not_end_the_server",
         ),
@@ -34,10 +34,20 @@
         tests=("tests/net/test_loop.py::test_peer_that_never_stops_sending_is_read_once_a_turn",),
     ),
     PlantedDefect(
-        path="stepknot/net/connection.py",
-        original="if count and count % ANSWER_BATCH == 0:",
-        replacement="if False:",
+        path="stepknot/net/answer_batch.py",
+        original="self._count == ANSWER_BATCH or",
+        replacement="False or",
         tests=("tests/net/test_server.py::test_pipelined_requests_are_answered_in_batches",),
+        invariant="9",
+    ),
+    PlantedDefect(
+        path="stepknot/net/answer_batch.py",
+        original="or loop.clock() >= self._end",
+        replacement="or False",
+        tests=(
+            "tests/net/test_server.py::test_requests_that_are_answered_slowly_are_bounded_in_time_in_one_step",
+        ),
+        invariant="9",
     ),
     PlantedDefect(
         path="stepknot/net/connection.py",
@@ -157,7 +167,7 @@
     ),
     PlantedDefect(
         path="stepknot/net/connection.py",
-        original="gate.release_bytes(self, parser.size)",
+        original="gate.release_bytes(self, self.admitted + (parser.size if parser.started else 0))",
         replacement="pass",
         tests=(
             "tests/admission/test_sockets.py::test_answered_request_releases_its_bytes_though_the_next_has_begun",
@@ -234,8 +244,8 @@
         ),
     ),
     PlantedDefect(
-        path="stepknot/net/connection.py",
-        original="if arrived > self.server.closed_at + LATE_REQUEST_GRACE:",
+        path="stepknot/net/rejections.py",
+        original="if arrived > server.closed_at + LATE_REQUEST_GRACE:",
         replacement="if False:",
         tests=(
             "tests/net/test_server.py::test_request_that_is_complete_only_after_the_close_is_rejected",
--- a/bench/trace_packages/net.py
+++ b/bench/trace_packages/net.py
@@ -25,7 +25,7 @@
 from stepknot.net.server import Server
 from stepknot.net.tasks import Coroutine, Future
 
-EXPECTED = "3d8174648c62d4bdfc7ba4bd2f346ad00d3d40d3ff602d1670250c810e9bc5b4"
+EXPECTED = "e5b80294a58fe2fd93ccafdab2050b2d8b93abfe7e2a47b837bd37f45144228c"
 LIMITS = HttpLimits(
     header=500, url=100, body=3000, first_byte=1.0, body_time=1.5, idle=2.0, write=0.8
 )
--- a/stepknot/net/connection.py
+++ b/stepknot/net/connection.py
@@ -17,6 +17,7 @@
 from collections.abc import Callable, Generator
 from typing import TYPE_CHECKING, Any
 
+from stepknot.net.answer_batch import AnswerBatch
 from stepknot.net.errors import HttpError, WaitTimeoutError
 from stepknot.net.gate import (
     CAPACITY_INTERVAL,
@@ -28,14 +29,13 @@
 from stepknot.net.http import Request, Response, ServerParser, encode_response
 from stepknot.net.link import Link
 from stepknot.net.read_ahead import read_ahead
-from stepknot.net.tasks import NEXT_TURN, Coroutine, Park, Timer
+from stepknot.net.rejections import make_rejection, reject_slow_request
+from stepknot.net.tasks import Coroutine, Park, Timer
 
 if TYPE_CHECKING:
     from stepknot.net.server import Server
 
 LINGER_TIMEOUT = 2.0  # seconds for the peer to read the last answer and to end its side
-ANSWER_BATCH = 16  # requests answered in a row before other tasks have their turn
-LATE_REQUEST_GRACE = 0.2  # seconds after the listener closed in which requests are still accepted
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 Handler = Callable[[Request, "Connection"], Generator[Park, Any, Response | None]]
 
@@ -48,6 +48,8 @@
     Attributes:
         number: by which the gate knows the connection.
         unparsed: bytes that were read and not parsed.
+        admitted: how many of them the gate has reserved capacity for.
+        batch: bounds the requests that are answered in a row.
         is_over_limit: there is no capacity for it: its first request is rejected.
         is_busy: a request is in progress.
         is_half_closed: nothing that is received counts any more.
@@ -65,6 +67,8 @@
     """
 
     __slots__ = (
+        "admitted",
+        "batch",
         "deadline",
         "deadline_timer",
         "disconnect_callback",
@@ -102,6 +106,8 @@
         self.peer = peer
         self.number = number
         self.unparsed = unparsed
+        self.admitted = 0
+        self.batch = AnswerBatch(server.loop)
         self.is_over_limit = is_over_limit
         self.is_busy = False
         self.is_half_closed = False
@@ -161,7 +167,7 @@
         if left > 0:
             self._check_deadline_at(self.server.loop.now + left)
         elif self.parser.started:
-            self.reject_slow_request()
+            reject_slow_request(self)
         elif self.link.peek():  # received just now, and not read yet
             self.set_deadline(LINGER_TIMEOUT)
         else:
@@ -176,18 +182,6 @@
         """
         return self.link.reader is None and self.link.last_received < self.deadline
 
-    def reject_slow_request(self) -> None:
-        """Answer a request that does not arrive in time, and end the connection."""
-        error = HttpError(408, "the request took too long to arrive")
-        self.server.timed_out_count += 1
-        self.server.end_counts["slow_request"] += 1
-        try:
-            self.link.send_now(encode_response(self.server.on_error(error), None, True))
-        except OSError:  # the peer disconnected, and the poll has not reported it yet
-            self.link.close()
-            return
-        self.half_close()
-
     # --- the end
 
     def half_close(self) -> None:
@@ -207,7 +201,7 @@
     def _drop_request(self) -> None:
         """Free what was received: it makes no request any more."""
         self.parser.clear()
-        self.unparsed = b""
+        self.unparsed, self.admitted = b"", 0
 
     def half_close_if_idle(self) -> None:
         """End the connection unless a request is in progress, is arriving or waits unread."""
@@ -274,10 +268,13 @@
                 return
             if parser.started:
                 self._start_request()
-                if gate is not None:
-                    gate.release_bytes(self, parser.size)
+            elif self.unparsed:
+                self.set_deadline(self.server.limits.body_time)
             else:
                 self._become_idle()
+                continue
+            if gate is not None:
+                gate.release_bytes(self, self.admitted + (parser.size if parser.started else 0))
 
     def _start_request(self) -> None:
         """A request began to arrive behind one that was answered."""
@@ -305,18 +302,20 @@
         if self.is_half_closed:
             return False
         data = self.unparsed or (yield from self.link.recv(READ_BYTES))
-        self.unparsed = b""
+        new_count = len(data) - self.admitted
+        self.unparsed, self.admitted = b"", 0
         server.idle.pop(self, None)
         if not data or self.is_half_closed:
             return False
         had_started = parser.started
-        if server.gate is not None and not (yield from admit_bytes(self, len(data))):
+        if new_count and server.gate is not None and not (yield from admit_bytes(self, new_count)):
             return False
         try:
-            parser.feed(data)
+            self.unparsed = parser.feed_until_complete(data)
         except HttpError as error:
             yield from self._reject_malformed(error)
             return False
+        self.admitted = len(self.unparsed)
         if parser.expects and parser.started:
             parser.expects = False
             yield from self.link.send(CONTINUE, server.limits.write)
@@ -332,11 +331,8 @@
         # The time of a pipelined request begins once the one before it is answered, also where its bytes
         # were received long before and are read only now.
         requests, arrived = self.parser.requests, max(self.link.last_readable, self.last_answered)
-        count = 0
         while requests:
-            if count and count % ANSWER_BATCH == 0:
-                yield from self.server.loop.sleep(NEXT_TURN)
-            count += 1
+            yield from self.batch.begin_request()
             if self.link.disconnected():  # most of a backlog after a stall
                 self.server.abandoned_count += len(requests)
                 self.server.end_counts["disconnected"] += 1
@@ -344,7 +340,7 @@
             request = requests.popleft()
             request.arrived = arrived
             self._begin_progress()
-            rejection = self._make_rejection(arrived)
+            rejection = make_rejection(self, arrived)
             response = rejection or (yield from self.server.handler(request, self))
             self._end_progress()
             arrived = self.last_answered = self.server.loop.now
@@ -371,14 +367,6 @@
         self.task.patient = True
         self.disconnect_callback = None
 
-    def _make_rejection(self, arrived: float) -> Response | None:
-        """The rejection of a request that is not accepted any more; a retry elsewhere is harmless."""
-        if self.is_over_limit:
-            return self.server.on_error(HttpError(503, "no room for a connection"))
-        if arrived > self.server.closed_at + LATE_REQUEST_GRACE:
-            return self.server.on_error(HttpError(503, "shutting down"))
-        return None
-
     def _reject_malformed(self, error: HttpError) -> Coroutine:
         """Answer the requests before the malformed one, then reject it."""
         if self.server.gate is not None:
--- a/stepknot/net/gate.py
+++ b/stepknot/net/gate.py
@@ -9,6 +9,7 @@
 from stepknot.admission.proxy_protocol import parse_proxy_header
 from stepknot.net.errors import HttpError
 from stepknot.net.http import Response, encode_response
+from stepknot.net.rejections import reject_slow_request
 from stepknot.net.tasks import Park
 
 if TYPE_CHECKING:
@@ -139,7 +140,7 @@
     if connection.link.closed or not connection.parser.started or connection.is_busy:
         return
     if _arrives_too_slowly(connection, gate):
-        connection.reject_slow_request()
+        reject_slow_request(connection)
     else:
         connection.is_progress_scheduled = True
         connection.server.loop.call_later(
--- a/stepknot/net/http.py
+++ b/stepknot/net/http.py
@@ -37,6 +37,7 @@
     501: "Not Implemented",
     503: "Service Unavailable",
 }
+PIECE_BYTES = 512  # parsed at once: so few small requests are complete before the first is answered
 HEADER_OVERHEAD = 4  # bytes of a header line besides its name and value
 GZIP_FROM = 1400  # bytes: a shorter body fits into one packet uncompressed
 GZIP_LEVEL = 1  # compressing holds up the loop
@@ -174,6 +175,7 @@
 
     __slots__ = (
         "body",
+        "body_length",
         "expects",
         "field_count",
         "header_size",
@@ -198,6 +200,22 @@
         self.line_bound = LineBound()
         self._begin()
 
+    def feed_until_complete(self, data: bytes) -> bytes:
+        """Take bytes up to a piece in which a request is complete; returns those behind it.
+
+        A request that is parsed takes many times the memory of its bytes.
+
+        Raises:
+            HttpError: they are malformed or over a bound.
+        """
+        place = 0
+        while place < len(data) and not self.requests:
+            body_left = self.body_length - self.size if self.started else 0
+            end = place + max(body_left, PIECE_BYTES)
+            self.feed(data[place:end])
+            place = end
+        return data[place:]
+
     def feed(self, data: bytes) -> None:
         """Take bytes as they were received.
 
@@ -232,6 +250,7 @@
         self.size = 0
         self.header_size = 0
         self.field_count = 0
+        self.body_length = 0  # as the head says
         # One buffer: a body may arrive in pieces of one byte, and each object takes much more than that.
         self.body = bytearray()
         self.headers: dict[str, str] = {}
@@ -273,6 +292,7 @@
         """The request's head is complete."""
         self.line_bound.on_element()
         self.expects = self.headers.get("expect", "").lower() == "100-continue"
+        self.body_length = int(self.headers.get("content-length") or 0)
 
     def on_body(self, body: bytes) -> None:
         """A part of the request's body."""
--- a/stepknot/net/server.py
+++ b/stepknot/net/server.py
@@ -7,13 +7,14 @@
 from collections.abc import Callable
 from typing import Any
 
-from stepknot.net.connection import LATE_REQUEST_GRACE, Connection, Handler
+from stepknot.net.connection import Connection, Handler
 from stepknot.net.errors import HttpError
 from stepknot.net.gate import Gate
 from stepknot.net.http import HttpLimits, Response
 from stepknot.net.link import Link
 from stepknot.net.listener import Listener
 from stepknot.net.loop import Loop
+from stepknot.net.rejections import LATE_REQUEST_GRACE
 
 REJECTED_FRACTION = 1 / 16  # of the bound on connections: so many beyond it get a rejection
 
--- a/tests/net/test_server.py
+++ b/tests/net/test_server.py
@@ -14,11 +14,13 @@
 
 import pytest
 
-from stepknot.net.connection import ANSWER_BATCH, LATE_REQUEST_GRACE, Connection
+from stepknot.net.answer_batch import ANSWER_BATCH
+from stepknot.net.connection import Connection
 from stepknot.net.errors import HttpError
 from stepknot.net.http import HttpLimits, Request, Response
 from stepknot.net.loop import Loop
 from stepknot.net.read_ahead import READ_AHEAD_BYTES
+from stepknot.net.rejections import LATE_REQUEST_GRACE
 from stepknot.net.server import Server
 from stepknot.net.tasks import Coroutine, Future
 from tests.net.test_loop import EndlessSocket
--- a/tests/platform/test_service.py
+++ b/tests/platform/test_service.py
@@ -17,7 +17,7 @@
 import orjson
 import pytest
 
-from stepknot.net.connection import LATE_REQUEST_GRACE
+from stepknot.net.rejections import LATE_REQUEST_GRACE
 from stepknot.platform.discovery import MAX_PROPAGATION_DELAY
 from stepknot.platform.service import (
     ACCEPT_AFTER_STOP,
