net: a request is not begun before the client's end could be seen behind it

Callers saw requests of clients that had left forwarded: 13 attempts of 100 clients began more than 0.1 s after the close, the last one 0.28 s.

Cause: a client that writes much and closes leaves its end of the stream behind bytes that the kernels still hold; the poll reports it only once they are read. A connection forwarded its first requests before it read so far.

Change: before a request begins, what is behind it is read (read_to_end). More than 16 KiB behind it, where clients send one request at a time, rejects it with a 429 and ends the connection: the client does not keep to the protocol, and its end cannot be seen.

--- a/bench/planted_defects/net.py
+++ b/bench/planted_defects/net.py
@@ -208,7 +208,7 @@
     PlantedDefect(
         path="stepknot/net/connection.py",
         original="self.server.loop.call_later(LINGER_TIMEOUT, self.link.close)",
-        replacement="pass",
+        replacement="None",
         tests=(
             "tests/net/test_server.py::test_client_that_stays_after_the_half_close_is_closed_after_the_linger_timeout",
         ),
@@ -223,7 +223,7 @@
     ),
     PlantedDefect(
         path="stepknot/net/read_ahead.py",
-        original="(is_full and not connection.server.one_at_a_time)",
+        original="(_is_full(connection) and not connection.server.one_at_a_time)",
         replacement="True",
         tests=(
             "tests/net/test_server.py::test_disconnect_behind_more_bytes_than_are_read_ahead_is_noticed",
@@ -231,10 +231,28 @@
     ),
     PlantedDefect(
         path="stepknot/net/read_ahead.py",
-        original="(is_full and not connection.server.one_at_a_time)",
+        original="(_is_full(connection) and not connection.server.one_at_a_time)",
         replacement="False",
         tests=("tests/net/test_server.py::test_read_ahead_is_bounded_and_served_in_order",),
     ),
+    PlantedDefect(
+        path="stepknot/net/connection.py",
+        original="if not (yield from read_to_end(self)):",
+        replacement="if self.link.disconnected():",
+        tests=(
+            "tests/net/test_server.py::test_request_of_a_client_that_left_is_not_begun_though_its_end_is_behind_unread_bytes",
+        ),
+        invariant="7",
+    ),
+    PlantedDefect(
+        path="stepknot/net/rejections.py",
+        original="if connection.has_overrun:",
+        replacement="if False:",
+        tests=(
+            "tests/net/test_server.py::test_too_many_bytes_behind_a_request_reject_it_before_it_is_begun",
+        ),
+        invariant="7",
+    ),
     PlantedDefect(
         path="stepknot/net/server.py",
         original="        self.listener.accept_rest()\n",
--- a/bench/trace_packages/net.py
+++ b/bench/trace_packages/net.py
@@ -25,7 +25,7 @@
 from stepknot.net.server import Server
 from stepknot.net.tasks import Coroutine, Future
 
-EXPECTED = "e5b80294a58fe2fd93ccafdab2050b2d8b93abfe7e2a47b837bd37f45144228c"
+EXPECTED = "1bd9f48e2df705621746c23d85cd283a8994c20b6d4b512a04ac4604c315532b"
 LIMITS = HttpLimits(
     header=500, url=100, body=3000, first_byte=1.0, body_time=1.5, idle=2.0, write=0.8
 )
--- a/stepknot/net/connection.py
+++ b/stepknot/net/connection.py
@@ -7,8 +7,9 @@
    reset the connection and lose the last answer. `Link.close` is for peers that disconnected, and where
    the descriptor is needed now.
 6. What is received after a half-close makes no request.
-7. While a request is in progress, bytes behind it are read too, within a bound: the client's end may
-   follow them.
+7. Before a request begins and while it is in progress, bytes behind it are read too, within a bound: the
+   client's end may follow them. Where clients send one request at a time, a request with more bytes behind
+   it than the bound is rejected before it begins.
 """
 
 from __future__ import annotations
@@ -28,7 +29,7 @@
 )
 from stepknot.net.http import Request, Response, ServerParser, encode_response
 from stepknot.net.link import Link
-from stepknot.net.read_ahead import read_ahead
+from stepknot.net.read_ahead import read_ahead, read_to_end
 from stepknot.net.rejections import make_rejection, reject_slow_request
 from stepknot.net.tasks import Coroutine, Park, Timer
 
@@ -333,7 +334,7 @@
         requests, arrived = self.parser.requests, max(self.link.last_readable, self.last_answered)
         while requests:
             yield from self.batch.begin_request()
-            if self.link.disconnected():  # most of a backlog after a stall
+            if not (yield from read_to_end(self)):  # most of a backlog after a stall
                 self.server.abandoned_count += len(requests)
                 self.server.end_counts["disconnected"] += 1
                 return False
--- a/stepknot/net/rejections.py
+++ b/stepknot/net/rejections.py
@@ -25,6 +25,8 @@
         return server.on_error(HttpError(503, "no room for a connection"))
     if arrived > server.closed_at + LATE_REQUEST_GRACE:
         return server.on_error(HttpError(503, "shutting down"))
+    if connection.has_overrun:
+        return server.on_error(HttpError(429, "one request at a time on a connection"))
     return None
 
 
--- a/tests/net/test_server.py
+++ b/tests/net/test_server.py
@@ -374,16 +374,17 @@
     return sent
 
 
+@pytest.mark.parametrize("size", [2, 60_000])
 def test_request_of_a_client_that_left_is_not_begun_though_its_end_is_behind_unread_bytes(
-    front: Front,
+    front: Front, size: int
 ) -> None:
     """The client had closed its connection, and its requests were forwarded until the end had been read."""
     front.server.one_at_a_time = True
     sock = front.client()
     front.until(lambda: front.server.connections)
-    assert (
-        fill(sock, ASK) > 200_000
-    )  # beyond what the kernel passes on: its end is not reported yet
+    ask = b"POST /x HTTP/1.1\r\nhost: h\r\ncontent-length: %d\r\n\r\n" % size + b"x" * size
+    sent = fill(sock, ask)
+    assert sent > 200_000  # beyond what the kernel passes on: its end is not reported yet
     sock.close()
     front.until(lambda: not front.server.connections)
     assert not front.taken
