platform: what connections hold of requests is bounded by the process's memory limit

Callers saw brokers killed for memory while hundreds of clients stopped in the middle of requests that were each within all bounds.

Cause: memory_mb was read from the configuration and used nowhere; nothing bounded the sum over connections.

Change: MemoryBudget (stepknot/decisions, listed under policy) divides a quarter of the memory that is left at the start among the connections: each may hold as much as remains free, and a small request always fits. Connection counts what is unparsed, parsed and in progress, by an estimate that includes the cost of fields and requests; beyond it a request gets a 503, read-ahead ends. The byte budget of admission uses the same rule. A frame's bytes are dropped once the kernel took them, and a request's body once its parts have the text: both stayed until the last answer.

--- a/stepknot/admission/byte_budget.py
+++ b/stepknot/admission/byte_budget.py
@@ -6,6 +6,7 @@
 
 from stepknot.admission.addresses import Address
 from stepknot.admission.model import AdmissionSettings, TrackedConnection
+from stepknot.decisions.memory_budget import may_hold
 
 # An address may always reserve the budget divided by this, if that much is free.
 MIN_ADDRESS_DIVISOR = 64
@@ -22,12 +23,11 @@
     def reserve(self, connection: TrackedConnection, size: int) -> bool:
         """Reserve bytes for a request; return False if the sender must wait or is rejected."""
         limit = self.settings.bytes
-        free = limit - self.reserved
-        own = self.by_address[connection.address] + size
-        if size > free or own > max(free, limit // MIN_ADDRESS_DIVISOR):
+        held = self.by_address[connection.address]
+        if not may_hold(held + size, held, limit - self.reserved, limit // MIN_ADDRESS_DIVISOR):
             return False
         connection.bytes_reserved += size
-        self.by_address[connection.address] = own
+        self.by_address[connection.address] = held + size
         self.reserved += size
         return True
 
--- a/stepknot/net/connection.py
+++ b/stepknot/net/connection.py
@@ -30,7 +30,7 @@
 from stepknot.net.http import Request, Response, ServerParser, encode_response
 from stepknot.net.link import Link
 from stepknot.net.read_ahead import read_ahead, read_to_end
-from stepknot.net.rejections import make_rejection, reject_slow_request
+from stepknot.net.rejections import make_rejection, reject_for_memory, reject_slow_request
 from stepknot.net.tasks import Coroutine, Park, Timer
 
 if TYPE_CHECKING:
@@ -51,6 +51,7 @@
         unparsed: bytes that were read and not parsed.
         admitted: how many of them the gate has reserved capacity for.
         batch: bounds the requests that are answered in a row.
+        request_memory: bytes that the request in progress holds, as an estimate.
         is_over_limit: there is no capacity for it: its first request is rejected.
         is_busy: a request is in progress.
         is_half_closed: nothing that is received counts any more.
@@ -58,8 +59,7 @@
         disconnect_callback: called once when the client disconnects during a request.
         deadline: when the client must have sent what it is expected to send, by the loop's clock.
         is_timer_set: whether the timer for the deadline is scheduled.
-        deadline_timer: the last one for the deadline.
-        linger_timer: closes the connection some time after it was half-closed.
+        deadline_timer, linger_timer: cancelled when the connection ends.
         is_read_ahead_scheduled: whether what comes behind a request is read on in the next turn.
         is_progress_scheduled: whether a check of how fast the request arrives is scheduled.
         request_started: when the request that is arriving began, or the connection was accepted.
@@ -87,6 +87,7 @@
         "parser",
         "peer",
         "request_bytes",
+        "request_memory",
         "request_started",
         "server",
         "task",
@@ -115,6 +116,7 @@
         self.has_overrun = False
         self.request_started = server.loop.now
         self.request_bytes = 0
+        self.request_memory = 0
         self.last_answered = 0.0
         self.parser = ServerParser(server.limits)
         self.disconnect_callback: Callable[[], None] | None = None
@@ -202,7 +204,13 @@
     def _drop_request(self) -> None:
         """Free what was received: it makes no request any more."""
         self.parser.clear()
-        self.unparsed, self.admitted = b"", 0
+        self.unparsed, self.admitted, self.request_memory = b"", 0, 0
+        self.fits_memory()
+
+    def fits_memory(self) -> bool:
+        """Count what the connection holds; returns whether it may hold that."""
+        held = self.request_memory + len(self.unparsed) + self.parser.memory
+        return self.server.memory_budget.resize(self, held)
 
     def half_close_if_idle(self) -> None:
         """End the connection unless a request is in progress, is arriving or waits unread."""
@@ -317,6 +325,9 @@
             yield from self._reject_malformed(error)
             return False
         self.admitted = len(self.unparsed)
+        if not self.fits_memory():
+            yield from reject_for_memory(self)
+            return False
         if parser.expects and parser.started:
             parser.expects = False
             yield from self.link.send(CONTINUE, server.limits.write)
@@ -340,7 +351,7 @@
                 return False
             request = requests.popleft()
             request.arrived = arrived
-            self._begin_progress()
+            self._begin_progress(request)
             rejection = make_rejection(self, arrived)
             response = rejection or (yield from self.server.handler(request, self))
             self._end_progress()
@@ -357,8 +368,9 @@
                 return False
         return True
 
-    def _begin_progress(self) -> None:
+    def _begin_progress(self, request: Request) -> None:
         self.is_busy = True
+        self.request_memory = request.memory
         self.task.patient = False
         if self.link.can_read:
             read_ahead(self)
@@ -367,6 +379,8 @@
         self.is_busy = False
         self.task.patient = True
         self.disconnect_callback = None
+        self.request_memory = 0
+        self.fits_memory()
 
     def _reject_malformed(self, error: HttpError) -> Coroutine:
         """Answer the requests before the malformed one, then reject it."""
--- a/stepknot/net/http.py
+++ b/stepknot/net/http.py
@@ -38,6 +38,9 @@
     503: "Service Unavailable",
 }
 PIECE_BYTES = 512  # parsed at once: so few small requests are complete before the first is answered
+# Estimates of memory, in bytes beyond those that were received.
+REQUEST_MEMORY = 1000  # of a parsed request
+FIELD_MEMORY = 250  # of a header field
 HEADER_OVERHEAD = 4  # bytes of a header line besides its name and value
 GZIP_FROM = 1400  # bytes: a shorter body fits into one packet uncompressed
 GZIP_LEVEL = 1  # compressing holds up the loop
@@ -70,6 +73,7 @@
     http10: bool = False
     arrived: float = 0.0  # by the loop's clock: when its bytes were received
     client: str = ""  # its address, where that is not the peer's
+    memory: int = 0  # bytes that it takes, as an estimate
 
     def parts(self) -> list[str]:
         """The path's segments, percent-decoded."""
@@ -200,6 +204,21 @@
         self.line_bound = LineBound()
         self._begin()
 
+    @property
+    def memory(self) -> int:
+        """Bytes that the requests which were not taken yet hold, as an estimate."""
+        complete = sum(each.memory for each in self.requests)
+        return complete + (self._incomplete_memory() if self.started else 0)
+
+    def _incomplete_memory(self) -> int:
+        return (
+            REQUEST_MEMORY
+            + len(self.url)
+            + self.header_size
+            + self.field_count * FIELD_MEMORY
+            + len(self.body)
+        )
+
     def feed_until_complete(self, data: bytes) -> bytes:
         """Take bytes up to a piece in which a request is complete; returns those behind it.
 
@@ -325,6 +344,7 @@
                 body,
                 bool(self.parser.should_keep_alive()),
                 self.parser.get_http_version() == "1.0",
+                memory=self._incomplete_memory(),
             )
         )
         self.started = False
--- a/stepknot/net/read_ahead.py
+++ b/stepknot/net/read_ahead.py
@@ -82,5 +82,13 @@
     elif is_full:
         connection.has_overrun = True
     else:
-        connection.unparsed += data
+        _keep(connection, data)
     return True
+
+
+def _keep(connection: Connection, data: bytes) -> None:
+    before = connection.unparsed
+    connection.unparsed = before + data
+    if not connection.fits_memory():
+        connection.unparsed = before
+        connection.has_overrun = True
--- a/stepknot/net/rejections.py
+++ b/stepknot/net/rejections.py
@@ -6,6 +6,7 @@
 
 from stepknot.net.errors import HttpError
 from stepknot.net.http import Response, encode_response
+from stepknot.net.tasks import Coroutine
 
 if TYPE_CHECKING:
     from stepknot.net.connection import Connection
@@ -30,6 +31,12 @@
     return None
 
 
+def reject_for_memory(connection: Connection) -> Coroutine:
+    """Answer a request for which no memory is left, and end the connection."""
+    connection.server.end_counts["over_memory"] += 1
+    yield from connection.reject(HttpError(503, "no memory for the request"))
+
+
 def reject_slow_request(connection: Connection) -> None:
     """Answer a request that does not arrive in time, and end the connection."""
     server = connection.server
--- a/stepknot/net/server.py
+++ b/stepknot/net/server.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from stepknot.decisions.memory_budget import MemoryBudget
 from stepknot.net.connection import Connection, Handler
 from stepknot.net.errors import HttpError
 from stepknot.net.gate import Gate
@@ -31,6 +32,7 @@
         is_draining: each answer ends its connection; new connections are still accepted.
         one_at_a_time: clients do not pipeline, so that much behind a request is not a request.
         gate: admits clients, where they are not simply accepted.
+        memory_budget: for what connections hold of requests, without a bound where a gate counts it.
         max_connections: bound where there is no gate.
         max_idle: bound on connections between two requests.
         idle: those connections, the one longest so first.
@@ -59,6 +61,7 @@
         self.is_draining = False
         self.one_at_a_time = False
         self.gate: Gate | None = None
+        self.memory_budget = MemoryBudget(math.inf)
         self.max_connections = math.inf
         self.max_idle = math.inf
         self.idle: dict[Connection, None] = {}
--- a/stepknot/platform/client_log.py
+++ b/stepknot/platform/client_log.py
@@ -34,12 +34,15 @@
         ends = +ends
         if not self._rejections and not ends:
             return
+        budget = self._server.memory_budget
         self._log(
             "clients_rejected",
             statuses=dict(self._rejections),
             ends=dict(ends),
             connections=len(self._server.connections),
             idle=len(self._server.idle),
+            held_bytes=budget.held,
+            held_limit=budget.limit,
             resident_bytes=read_resident_bytes(),
         )
         self._rejections.clear()
--- a/stepknot/platform/service.py
+++ b/stepknot/platform/service.py
@@ -20,6 +20,7 @@
 
 from stepknot.broker.core import Core, CoreOptions
 from stepknot.broker.process import BrokerProcess
+from stepknot.decisions.memory_budget import MemoryBudget, request_memory
 from stepknot.interface import ListKind, ListReceived, ServerState
 from stepknot.net.connection import Connection
 from stepknot.net.errors import HttpError
@@ -152,6 +153,8 @@
         server = Server(self.loop, *address, self.handle, LIMITS, self.on_http_error)
         server.max_connections, server.one_at_a_time = self._max_clients(), True
         server.max_idle = self.config.max_descriptors * IDLE_CLIENT_FRACTION
+        used = read_resident_bytes()
+        server.memory_budget = MemoryBudget(request_memory(self.config.memory_bytes, used))
         return server
 
     def _max_clients(self) -> int:
@@ -204,6 +207,7 @@
         except BadRequestError as error:
             self._reject_request(error.status, error.reason, request)
             return requests.build_error_response(error.status, error.reason)
+        request.body = b""  # the parts have its text
         if ask.name in self.open_names:
             reason = "a request of this id is in work"
             self._reject_request(CONFLICT, reason, request)
--- a/stepknot/platform/write_queue.py
+++ b/stepknot/platform/write_queue.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from stepknot.nodes.transport import OutgoingAttempt
 from stepknot.platform.frames import encode_call
@@ -16,19 +16,24 @@
     Attributes:
         attempts: that the call carries; none for other frames.
         queued_at: by the loop's clock.
-        data: the frame's bytes, empty while it is not encoded.
+        data: the frame's bytes, empty while it is not encoded and once the kernel took the last one.
+        length: how many they are, 0 while it is not encoded.
         sent: how many of them the kernel took.
     """
 
     attempts: list[OutgoingAttempt]
     queued_at: float
     data: bytes = b""
+    length: int = field(init=False)
     sent: int = 0
 
+    def __post_init__(self) -> None:
+        self.length = len(self.data)
+
     @property
     def is_sent(self) -> bool:
         """Whether the kernel took the frame to its last byte."""
-        return 0 < len(self.data) == self.sent
+        return 0 < self.length == self.sent
 
 
 class WriteQueue:
@@ -44,7 +49,7 @@
 
         The kernel must not have taken any byte of the frame.
         """
-        frame.data = b""  # it is encoded again
+        frame.data, frame.length = b"", 0  # it is encoded again
         frame.attempts.remove(attempt)
         if not frame.attempts:
             self.frames.remove(frame)
@@ -57,14 +62,16 @@
                 frame.data = encode_call(
                     [(each.request, each.wait - queued) for each in frame.attempts]
                 )
+                frame.length = len(frame.data)
         return b"".join(frame.data[frame.sent :] for frame in self.frames)
 
     def advance(self, count: int) -> None:
         """The kernel took so many bytes: frames that it took to their last byte leave the queue."""
         while count:
             frame = self.frames[0]
-            step = min(count, len(frame.data) - frame.sent)
+            step = min(count, frame.length - frame.sent)
             frame.sent += step
             count -= step
             if frame.is_sent:
+                frame.data = b""  # its call refers to the frame until all parts are answered
                 self.frames.popleft()
