net: a small request does not wait for the work of hundreds of large ones

Callers saw answers late or never while hundreds of clients sent bodies in tiny chunks or thousands of small requests.

Cause: new work had 5 ms of each turn, a step of one connection took that and more, and all connections were in one queue: a small request waited for a step of every other one (91 turns of the loop with 100 connections).

Change: a step parses and answers for 0.5 ms at the most (StepBound, in place of the bound on answers alone), and a connection that used all of it is bulk until it is idle: bulk has 5 ms of a turn of its own, behind other new work (invariant 4). Reading is in stepknot.net.request_reader. The crowds of the tests run in a process of their own, so that usual clients are not held up by the test itself.

--- a/bench/planted_defects/net.py
+++ b/bench/planted_defects/net.py
@@ -34,15 +34,15 @@
         tests=("tests/net/test_loop.py::test_peer_that_never_stops_sending_is_read_once_a_turn",),
     ),
     PlantedDefect(
-        path="stepknot/net/answer_batch.py",
-        original="self._count == ANSWER_BATCH or",
-        replacement="False or",
+        path="stepknot/net/step_bound.py",
+        original="is_full = self.request_count >= ANSWER_BATCH",
+        replacement="is_full = False",
         tests=("tests/net/test_server.py::test_pipelined_requests_are_answered_in_batches",),
         invariant="9",
     ),
     PlantedDefect(
-        path="stepknot/net/answer_batch.py",
-        original="or loop.clock() >= self._end",
+        path="stepknot/net/step_bound.py",
+        original="or self._loop.clock() >= self._end",
         replacement="or False",
         tests=(
             "tests/net/test_server.py::test_requests_that_are_answered_slowly_are_bounded_in_time_in_one_step",
@@ -97,8 +97,8 @@
     ),
     PlantedDefect(
         path="stepknot/net/loop.py",
-        original="(self.new if patient else self.due).append((task, task.ticket, None, None))",
-        replacement="self.due.append((task, task.ticket, None, None))",
+        original="        task.queue().append((task, task.ticket, None, None))",
+        replacement="        self.due.append((task, task.ticket, None, None))",
         tests=(
             "tests/net/test_loop.py::test_work_in_progress_runs_before_new_work_which_is_bounded_in_a_turn",
         ),
@@ -198,8 +198,8 @@
         ),
     ),
     PlantedDefect(
-        path="stepknot/net/connection.py",
-        original="if not data or self.is_half_closed:",
+        path="stepknot/net/request_reader.py",
+        original="if not data or connection.is_half_closed:",
         replacement="if not data:",
         tests=(
             "tests/net/test_server.py::test_request_that_crosses_the_half_close_is_not_accepted",
@@ -244,6 +244,23 @@
         ),
         invariant="7",
     ),
+    PlantedDefect(
+        path="stepknot/net/tasks.py",
+        original="return self.loop.bulk if self.is_bulk else self.loop.new",
+        replacement="return self.loop.new",
+        tests=(
+            "tests/net/test_server.py::test_small_request_does_not_wait_for_the_work_of_many_large_ones",
+        ),
+        invariant="4",
+    ),
+    PlantedDefect(
+        path="stepknot/net/request_reader.py",
+        original="if not connection.fits_memory():",
+        replacement="if False:",
+        tests=(
+            "tests/platform/test_memory_limit.py::test_slow_writers_stay_within_the_memory_limit",
+        ),
+    ),
     PlantedDefect(
         path="stepknot/net/rejections.py",
         original="if connection.has_overrun:",
@@ -324,9 +341,9 @@
         ),
     ),
     PlantedDefect(
-        path="stepknot/net/connection.py",
-        original="if server.is_closed and self.last_answered:",
-        replacement="if server.is_draining:",
+        path="stepknot/net/request_reader.py",
+        original="if connection.server.is_closed and connection.last_answered:",
+        replacement="if connection.server.is_draining:",
         tests=("tests/net/test_server.py::test_new_connection_while_draining_is_served",),
     ),
     PlantedDefect(
--- a/stepknot/net/connection.py
+++ b/stepknot/net/connection.py
@@ -18,26 +18,25 @@
 from collections.abc import Callable, Generator
 from typing import TYPE_CHECKING, Any
 
-from stepknot.net.answer_batch import AnswerBatch
 from stepknot.net.errors import HttpError, WaitTimeoutError
 from stepknot.net.gate import (
     CAPACITY_INTERVAL,
     READ_BYTES,
-    admit_bytes,
     read_proxy_header,
     schedule_progress_check,
 )
 from stepknot.net.http import Request, Response, ServerParser, encode_response
 from stepknot.net.link import Link
 from stepknot.net.read_ahead import read_ahead, read_to_end
-from stepknot.net.rejections import make_rejection, reject_for_memory, reject_slow_request
+from stepknot.net.rejections import make_rejection, reject_slow_request
+from stepknot.net.request_reader import read_request
+from stepknot.net.step_bound import StepBound
 from stepknot.net.tasks import Coroutine, Park, Timer
 
 if TYPE_CHECKING:
     from stepknot.net.server import Server
 
 LINGER_TIMEOUT = 2.0  # seconds for the peer to read the last answer and to end its side
-CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 Handler = Callable[[Request, "Connection"], Generator[Park, Any, Response | None]]
 
 
@@ -50,7 +49,7 @@
         number: by which the gate knows the connection.
         unparsed: bytes that were read and not parsed.
         admitted: how many of them the gate has reserved capacity for.
-        batch: bounds the requests that are answered in a row.
+        step: bounds what is done in a row.
         request_memory: bytes that the request in progress holds, as an estimate.
         is_over_limit: there is no capacity for it: its first request is rejected.
         is_busy: a request is in progress.
@@ -69,7 +68,6 @@
 
     __slots__ = (
         "admitted",
-        "batch",
         "deadline",
         "deadline_timer",
         "disconnect_callback",
@@ -90,6 +88,7 @@
         "request_memory",
         "request_started",
         "server",
+        "step",
         "task",
         "unparsed",
     )
@@ -109,7 +108,7 @@
         self.number = number
         self.unparsed = unparsed
         self.admitted = 0
-        self.batch = AnswerBatch(server.loop)
+        self.step = StepBound(server.loop)
         self.is_over_limit = is_over_limit
         self.is_busy = False
         self.is_half_closed = False
@@ -271,7 +270,7 @@
             return
         while True:
             while not parser.requests:
-                if not (yield from self._read_more()):
+                if not (yield from read_request(self)):
                     return
             if not (yield from self._answer_requests()):
                 return
@@ -294,47 +293,17 @@
 
     def _become_idle(self) -> None:
         gate, idle_timeout = self.server.gate, self.server.limits.idle
+        self.task.is_bulk = False
         if gate is not None:
             gate.on_idle(self)
             idle_timeout = gate.idle_timeout(idle_timeout)
         self.set_deadline(idle_timeout)
         self.server.note_idle(self)
 
-    def _read_more(self) -> Generator[Park, Any, bool]:
-        """Read and parse once; returns whether the connection goes on."""
-        server, parser = self.server, self.parser
-        if server.is_closed and self.last_answered:
-            self.half_close_if_idle()
-        if self.has_overrun:
-            self.server.end_counts["overrun"] += 1
-            self.half_close()
-        if self.is_half_closed:
-            return False
-        data = self.unparsed or (yield from self.link.recv(READ_BYTES))
-        new_count = len(data) - self.admitted
-        self.unparsed, self.admitted = b"", 0
-        server.idle.pop(self, None)
-        if not data or self.is_half_closed:
-            return False
-        had_started = parser.started
-        if new_count and server.gate is not None and not (yield from admit_bytes(self, new_count)):
-            return False
-        try:
-            self.unparsed = parser.feed_until_complete(data)
-        except HttpError as error:
-            yield from self._reject_malformed(error)
-            return False
-        self.admitted = len(self.unparsed)
-        if not self.fits_memory():
-            yield from reject_for_memory(self)
-            return False
-        if parser.expects and parser.started:
-            parser.expects = False
-            yield from self.link.send(CONTINUE, server.limits.write)
-        if parser.started and not had_started:
-            self.set_deadline(server.limits.body_time)
-            schedule_progress_check(self)
-        return True
+    def wait_for_turn(self) -> Coroutine:
+        """Wait for the next turn, behind small requests of others, where the step was long enough."""
+        self.task.is_bulk |= self.step.is_reached()
+        yield from self.step.wait()
 
     # --- answering
 
@@ -344,7 +313,9 @@
         # were received long before and are read only now.
         requests, arrived = self.parser.requests, max(self.link.last_readable, self.last_answered)
         while requests:
-            yield from self.batch.begin_request()
+            if self.step.request_count:  # one at least is answered in a step
+                yield from self.wait_for_turn()
+            self.step.request_count += 1
             if not (yield from read_to_end(self)):  # most of a backlog after a stall
                 self.server.abandoned_count += len(requests)
                 self.server.end_counts["disconnected"] += 1
@@ -382,7 +353,7 @@
         self.request_memory = 0
         self.fits_memory()
 
-    def _reject_malformed(self, error: HttpError) -> Coroutine:
+    def reject_malformed(self, error: HttpError) -> Coroutine:
         """Answer the requests before the malformed one, then reject it."""
         if self.server.gate is not None:
             self.server.gate.on_protocol_error(self)
--- a/stepknot/net/http.py
+++ b/stepknot/net/http.py
@@ -219,21 +219,19 @@
             + len(self.body)
         )
 
-    def feed_until_complete(self, data: bytes) -> bytes:
-        """Take bytes up to a piece in which a request is complete; returns those behind it.
+    def feed_piece(self, data: bytes, place: int) -> int:
+        """Take the bytes from this place on, up to a bound; returns the place behind them.
 
-        A request that is parsed takes many times the memory of its bytes.
+        A request that is parsed takes many times the memory of its bytes, so that not all that was received
+        is parsed before the first request is answered.
 
         Raises:
             HttpError: they are malformed or over a bound.
         """
-        place = 0
-        while place < len(data) and not self.requests:
-            body_left = self.body_length - self.size if self.started else 0
-            end = place + max(body_left, PIECE_BYTES)
-            self.feed(data[place:end])
-            place = end
-        return data[place:]
+        body_left = self.body_length - self.size if self.started else 0
+        end = place + max(body_left, PIECE_BYTES)
+        self.feed(data[place:end])
+        return end
 
     def feed(self, data: bytes) -> None:
         """Take bytes as they were received.
--- a/stepknot/net/loop.py
+++ b/stepknot/net/loop.py
@@ -10,7 +10,8 @@
 2. A task is resumed at most once for each park; a later resume is ignored by its ticket.
 3. The work of a turn ends with the turn hooks: what was received in a turn is decided on once.
 4. Work in progress goes before new work: a task that waits for new work (`Task.patient`) runs after all
-   others, and for a bounded time. After a stall, answers do not wait for a backlog of requests.
+   others, and for a bounded time. After a stall, answers do not wait for a backlog of requests. Much new
+   work of one task (`Task.is_bulk`) has a bounded time of its own: a small request does not wait for it.
 8. An error that a callback raises (a timer, a turn hook, a link's event) is reported as that of a task
    is, and keeps no other callback from its call.
 9. A step of a task is bounded, whatever a peer sends: it reads once and answers a batch of requests. The
@@ -36,6 +37,7 @@
 
 SLICE = 0.025  # seconds of a turn after which tasks that are due wait for the next one
 NEW_SLICE = 0.005  # seconds of a turn for new work: deciding on what it posts comes on top
+BULK_SLICE = 0.005  # seconds of a turn for new work of tasks that have much of it
 SLOW_TURN = 0.1  # seconds: such a turn is reported, with the processor time that it had
 MAX_POLL = 1.0  # seconds
 LAG_HALF_LIFE = 5.0  # seconds in which half of the longest recent turn is forgotten
@@ -91,6 +93,7 @@
         self.timer_count = 0
         self.due: deque[Due] = deque()
         self.new: deque[Due] = deque()  # of patient tasks
+        self.bulk: deque[Due] = deque()  # of those with much work
         self.tasks: set[Task] = set()
         self.turn_hooks: list[Callable[[], None]] = []
         self.stopping = False
@@ -118,7 +121,7 @@
         task = Task(self, steps, name)
         task.patient = patient
         self.tasks.add(task)
-        (self.new if patient else self.due).append((task, task.ticket, None, None))
+        task.queue().append((task, task.ticket, None, None))
         return task
 
     def call_at(self, at: float, callback: Callable[[], None]) -> Timer:
@@ -176,7 +179,8 @@
 
         Raises the error of a callback, or of a task that no other waits for, unless `on_error` takes it.
         """
-        wait = 0.0 if self.due or self.new or self.again else self._until_next_timer()
+        is_due = self.due or self.new or self.bulk or self.again
+        wait = 0.0 if is_due else self._until_next_timer()
         self.again = False
         ready = self.network.poll(wait)
         self.now = begun = self.clock()
@@ -189,6 +193,8 @@
         self.run_due(self.due, begun + SLICE)
         if self.new:
             self.run_due(self.new, self.clock() + NEW_SLICE)
+        if self.bulk:
+            self.run_due(self.bulk, self.clock() + BULK_SLICE)
         self._fire_timers()
         self.run_due(self.due, begun + SLICE)
         for hook in self.turn_hooks:
--- a/stepknot/net/tasks.py
+++ b/stepknot/net/tasks.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable, Generator
 from typing import TYPE_CHECKING, Any
 
@@ -37,12 +38,14 @@
         done: whether it ended; `result` and `error` are set then.
         ticket: changes with each park, so that a late resume is ignored.
         patient: whether it waits for new work, see invariant 4 of `stepknot.net.loop`.
+        is_bulk: whether its new work is so much that it goes behind other tasks' new work.
     """
 
     __slots__ = (
         "__weakref__",
         "done",
         "error",
+        "is_bulk",
         "loop",
         "name",
         "patient",
@@ -59,6 +62,7 @@
         self.done = False
         self.ticket = 0
         self.patient = False
+        self.is_bulk = False
         self.result: Any = None
         self.error: BaseException | None = None
         self.waiters: list[Callable[[], None]] = []
@@ -67,8 +71,13 @@
         """Go on in the loop's next step, if the task is still parked with this ticket."""
         if not self.done and ticket == self.ticket:
             self.ticket += 1
-            queue = self.loop.new if self.patient else self.loop.due
-            queue.append((self, self.ticket, value, error))
+            self.queue().append((self, self.ticket, value, error))
+
+    def queue(self) -> deque[tuple[Task, int, Any, BaseException | None]]:
+        """Where the loop has the task when it is due."""
+        if not self.patient:
+            return self.loop.due
+        return self.loop.bulk if self.is_bulk else self.loop.new
 
     def step(self, value: Any, error: BaseException | None) -> None:
         """Run until the coroutine parks or ends; called by the loop."""
--- a/tests/net/test_server.py
+++ b/tests/net/test_server.py
@@ -14,7 +14,6 @@
 
 import pytest
 
-from stepknot.net.answer_batch import ANSWER_BATCH
 from stepknot.net.connection import Connection
 from stepknot.net.errors import HttpError
 from stepknot.net.http import HttpLimits, Request, Response
@@ -22,6 +21,7 @@
 from stepknot.net.read_ahead import READ_AHEAD_BYTES
 from stepknot.net.rejections import LATE_REQUEST_GRACE
 from stepknot.net.server import Server
+from stepknot.net.step_bound import ANSWER_BATCH
 from stepknot.net.tasks import Coroutine, Future
 from tests.net.test_loop import EndlessSocket
 
@@ -476,3 +476,31 @@
     assert calls[0] < 100 * 100  # calls for each of the 100 connections
     for sock in socks + more:
         sock.close()
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        ASK.replace(b"content-length: 2", b"transfer-encoding: chunked")[:-2]
+        + b"1\r\nx\r\n" * 60_000,
+        b"GET /x HTTP/1.1\r\n\r\n" * 3000,
+    ],
+    ids=["a large body in tiny chunks", "thousands of small requests"],
+)
+def test_small_request_does_not_wait_for_the_work_of_many_large_ones(
+    front: Front, data: bytes
+) -> None:
+    """Each turn took one step of new work: a small request waited for a step of every other connection."""
+    socks = [front.client() for _ in range(100)]
+    front.until(lambda: len(front.server.connections) == 100)
+    for sock in socks:
+        sock.setblocking(False)
+        sock.send(data)
+    for _ in range(10):
+        front.loop.turn()
+    usual = front.client(ASK.replace(b"/x", b"/usual"))
+    begun = front.loop.turns
+    front.until(lambda: any(each.path == "/usual" for each in front.taken))
+    assert front.loop.turns - begun < 10
+    for sock in [*socks, usual]:
+        sock.close()
--- a/tests/platform/hostile_clients.py
+++ b/tests/platform/hostile_clients.py
@@ -4,13 +4,19 @@
 
 import errno
 import socket
-import threading
+import subprocess
+import sys
 import time
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+
+import orjson
 
 from tests.platform.world import request
 
+ROOT = Path(__file__).parent.parent.parent
+MAX_SECONDS = 120.0  # a crowd ends by itself
 HEAD = b"POST /list HTTP/1.1\r\nhost: x\r\nx-txn: h%d\r\nx-remaining: 1500m\r\n"
 BODY_LIMIT = 64 * 1024  # bytes, of the protocol page
 WRITE_BYTES = 16 * 1024  # at a time, so that no connection has the pump for itself
@@ -100,7 +106,7 @@
     return b"\x16\x03\x01%d" % number * 5000
 
 
-STOPPING: dict[str, Callable[[int], bytes]] = {
+SHAPES: dict[str, Callable[[int], bytes]] = {
     "half a body": half_body,
     "a head of short fields": short_fields,
     "a head of short fields with values": valued_fields,
@@ -110,19 +116,38 @@
     "a request with small ones behind it": waiting_request,
     "small requests": small_requests,
     "sound requests": sound_requests,
-}
-FULL_SPEED: dict[str, Callable[[int], bytes]] = {
     "a body over the bound": body_over_the_bound,
     "a head over the bound": head_over_the_bound,
     "a target over the bound": target_over_the_bound,
-    "small requests": small_requests,
     "unsound requests": unsound_requests,
     "requests with no time left": hopeless_requests,
     "deep targets": deep_targets,
     "many segments": many_segments,
     "no HTTP": no_http,
-    "chunks of two bytes": chunks(2),
 }
+STOPPING = (
+    "half a body",
+    "a head of short fields",
+    "a head of short fields with values",
+    "chunks of one byte",
+    "chunks of two bytes",
+    "chunks of six bytes",
+    "a request with small ones behind it",
+    "small requests",
+    "sound requests",
+)
+FULL_SPEED = (
+    "a body over the bound",
+    "a head over the bound",
+    "a target over the bound",
+    "small requests",
+    "unsound requests",
+    "requests with no time left",
+    "deep targets",
+    "many segments",
+    "no HTTP",
+    "chunks of two bytes",
+)
 
 
 @dataclass
@@ -132,39 +157,40 @@
     left: memoryview = field(default_factory=lambda: memoryview(b""))
 
 
-class HostileCrowd:
-    """Writes on `count` connections at once, on a thread, until it is stopped; reads and drops the answers.
+@dataclass(frozen=True)
+class Crowd:
+    """What a crowd sends, and how.
 
-    Args:
-        address: of the broker.
-        build: makes what a connection sends, given a number that no other one has.
+    Attributes:
+        shape: of `SHAPES`.
         count: connections at once; one that ends is replaced.
         again: whether a connection that has sent everything sends more; else it stays and says nothing.
         write_bytes: written at most on a connection before the others have their turn.
         pause: seconds between two rounds over all connections.
+        first_number: of the connections' names; crowds on one broker have different ones.
     """
 
-    def __init__(
-        self,
-        address: tuple[str, int],
-        build: Callable[[int], bytes],
-        count: int,
-        again: bool = False,
-        write_bytes: int = WRITE_BYTES,
-        pause: float = 0.0,
-    ) -> None:
-        self.address, self.build, self.count = address, build, count
-        self.again, self.write_bytes, self.pause = again, write_bytes, pause
-        self.opened = 0
-        self._connections: list[_Connection] = []
-        self._is_over = threading.Event()
-        self._thread = threading.Thread(target=self._run, daemon=True)
-        self._thread.start()
+    shape: str
+    count: int
+    again: bool = False
+    write_bytes: int = WRITE_BYTES
+    pause: float = 0.0
+    first_number: int = 0
+
+
+class HostileCrowd:
+    """A crowd in a process of its own, so that usual clients beside it are not held up by its work."""
+
+    def __init__(self, address: tuple[str, int], crowd: Crowd) -> None:
+        arguments = orjson.dumps([address, asdict(crowd)]).decode()
+        self._process = subprocess.Popen(
+            [sys.executable, "-m", "tests.platform.hostile_clients", arguments], cwd=ROOT
+        )
 
     def stop(self) -> None:
-        self._is_over.set()
-        self._thread.join(10.0)
-        assert not self._thread.is_alive()
+        assert self._process.poll() is None, "the crowd ended by itself"
+        self._process.kill()
+        self._process.wait()
 
     def __enter__(self) -> HostileCrowd:
         return self
@@ -172,15 +198,23 @@
     def __exit__(self, *_: object) -> None:
         self.stop()
 
-    def _run(self) -> None:
-        while not self._is_over.is_set():
-            while len(self._connections) < self.count and self._open():
+
+class Pump:
+    """Writes on all connections of a crowd in turn, and reads and drops the answers."""
+
+    def __init__(self, address: tuple[str, int], crowd: Crowd) -> None:
+        self.address, self.crowd = address, crowd
+        self._opened = crowd.first_number
+        self._connections: list[_Connection] = []
+
+    def run(self, seconds: float) -> None:
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            while len(self._connections) < self.crowd.count and self._open():
                 pass
             wrote = [self._serve(each) for each in list(self._connections)]
-            if self.pause or not any(wrote):
-                self._is_over.wait(max(self.pause, 0.002))
-        for each in self._connections:
-            each.sock.close()
+            if self.crowd.pause or not any(wrote):
+                time.sleep(max(self.crowd.pause, 0.002))
 
     def _open(self) -> bool:
         sock = socket.socket()
@@ -188,22 +222,21 @@
         code = sock.connect_ex(self.address)
         if code not in (0, errno.EINPROGRESS):
             sock.close()
-            self._is_over.wait(CONNECT_PAUSE)
+            time.sleep(CONNECT_PAUSE)
             return False
-        self.opened += 1
-        self._connections.append(
-            _Connection(sock, self.opened, memoryview(self.build(self.opened)))
-        )
+        self._opened += 1
+        data = SHAPES[self.crowd.shape](self._opened)
+        self._connections.append(_Connection(sock, self._opened, memoryview(data)))
         return len(self._connections) % 64 != 0  # those that are open have their turn
 
     def _serve(self, connection: _Connection) -> bool:
         """Write and read once; returns whether anything was written."""
         sent = 0
         try:
-            if not connection.left and self.again:
-                connection.left = memoryview(self.build(connection.number))
+            if not connection.left and self.crowd.again:
+                connection.left = memoryview(SHAPES[self.crowd.shape](connection.number))
             if connection.left:
-                sent = connection.sock.send(connection.left[: self.write_bytes])
+                sent = connection.sock.send(connection.left[: self.crowd.write_bytes])
                 connection.left = connection.left[sent:]
         except BlockingIOError:
             pass
@@ -231,3 +264,8 @@
     end = time.monotonic() + duration
     while (left := end - time.monotonic()) > 0:
         yield left
+
+
+if __name__ == "__main__":
+    (host, port), given = orjson.loads(sys.argv[1])
+    Pump((host, port), Crowd(**given)).run(MAX_SECONDS)
--- a/tests/platform/test_memory_limit.py
+++ b/tests/platform/test_memory_limit.py
@@ -8,7 +8,13 @@
 import pytest
 
 from tests.broker.scripted import Client
-from tests.platform.hostile_clients import FULL_SPEED, STOPPING, HostileCrowd, seconds_left
+from tests.platform.hostile_clients import (
+    FULL_SPEED,
+    STOPPING,
+    Crowd,
+    HostileCrowd,
+    seconds_left,
+)
 from tests.platform.test_service import Process, started
 from tests.platform.world import request
 
@@ -84,7 +90,7 @@
     with started(tmp_path, limits=LIMITS) as process:
         usual = UsualClient(process)
         usual.ask()
-        with HostileCrowd(process.listen, STOPPING[name], CROWD):
+        with HostileCrowd(process.listen, Crowd(name, CROWD)):
             usual.ask_for(CROWD_SECONDS)
         check_limit_and_answers(process, usual)
 
@@ -95,7 +101,7 @@
     with started(tmp_path, limits=LIMITS) as process:
         usual = UsualClient(process)
         usual.ask()
-        with HostileCrowd(process.listen, FULL_SPEED[name], 1, again=True):
+        with HostileCrowd(process.listen, Crowd(name, 1, again=True)):
             usual.ask_for(FULL_SPEED_SECONDS)
         check_limit_and_answers(process, usual)
 
@@ -106,9 +112,7 @@
     with started(tmp_path, limits=LIMITS) as process:
         usual = UsualClient(process)
         usual.ask()
-        crowd = HostileCrowd(
-            process.listen, STOPPING[name], CROWD // 2, again=True, write_bytes=700, pause=0.02
-        )
-        with crowd:
+        crowd = Crowd(name, CROWD // 2, again=True, write_bytes=700, pause=0.02)
+        with HostileCrowd(process.listen, crowd):
             usual.ask_for(CROWD_SECONDS)
         check_limit_and_answers(process, usual)
