net: connections to evict are sorted once a turn, not once for each that is accepted

Callers saw the loop held up by accepting (loop_stalled, longest_task accept, 0.07 to 0.1 s) while hundreds of clients connected at the bound.

Change: EvictionQueue sorts the candidates once in a turn of the loop, and checks each again when it is taken.

Result: tests/net/test_server.py accepting_over_the_limit failed before (44,133 calls for 100 connections, 10,000 allowed) and passes.

--- a/bench/planted_defects/net.py
+++ b/bench/planted_defects/net.py
@@ -261,6 +261,14 @@
             "tests/platform/test_memory_limit.py::test_slow_writers_stay_within_the_memory_limit",
         ),
     ),
+    PlantedDefect(
+        path="stepknot/net/eviction.py",
+        original="if self._turn != self._loop.turns:",
+        replacement="if True:",
+        tests=(
+            "tests/net/test_server.py::test_accepting_over_the_limit_does_not_look_at_all_connections_each_time",
+        ),
+    ),
     PlantedDefect(
         path="stepknot/net/rejections.py",
         original="if connection.has_overrun:",
@@ -309,15 +317,15 @@
         ),
     ),
     PlantedDefect(
-        path="stepknot/net/server.py",
-        original="(each.is_half_closed or not each.in_progress)",
+        path="stepknot/net/eviction.py",
+        original="connection.is_half_closed or not connection.in_progress",
         replacement="(each.is_half_closed or not each.is_busy)",
         tests=(
             "tests/net/test_server.py::test_answer_being_written_is_completed_whatever_ends_meanwhile",
         ),
     ),
     PlantedDefect(
-        path="stepknot/net/server.py",
+        path="stepknot/net/eviction.py",
         original="max(connection.request_started, connection.last_answered)",
         replacement="connection.last_answered > 0",
         tests=(
--- a/bench/trace_packages/net.py
+++ b/bench/trace_packages/net.py
@@ -25,7 +25,7 @@
 from stepknot.net.server import Server
 from stepknot.net.tasks import Coroutine, Future
 
-EXPECTED = "1bd9f48e2df705621746c23d85cd283a8994c20b6d4b512a04ac4604c315532b"
+EXPECTED = "227d34ed50d4611b97892be74d16f407eba08e3c8f241fde961c7fa22cdb06b7"
 LIMITS = HttpLimits(
     header=500, url=100, body=3000, first_byte=1.0, body_time=1.5, idle=2.0, write=0.8
 )
--- a/stepknot/net/server.py
+++ b/stepknot/net/server.py
@@ -10,6 +10,7 @@
 from stepknot.decisions.memory_budget import MemoryBudget
 from stepknot.net.connection import Connection, Handler
 from stepknot.net.errors import HttpError
+from stepknot.net.eviction import EvictionQueue
 from stepknot.net.gate import Gate
 from stepknot.net.http import HttpLimits, Response
 from stepknot.net.link import Link
@@ -65,6 +66,7 @@
         self.max_connections = math.inf
         self.max_idle = math.inf
         self.idle: dict[Connection, None] = {}
+        self._eviction_queue = EvictionQueue(loop)
         self.rejected_count = 0
         self.timed_out_count = 0
         self.abandoned_count = 0
@@ -104,27 +106,15 @@
             longest.half_close_if_idle()
 
     def evict(self) -> bool:
-        """Close one connection for its descriptor; returns whether there was one.
-
-        First come those that are half-closed, then those longest without a complete request, be they
-        between two requests, without any or in the middle of one. A new one is about to send a
-        request, and comes last. One with unread bytes is not evicted.
-        """
-        candidates = [
-            each
-            for each in self.connections
-            if not each.link.closed and (each.is_half_closed or not each.in_progress)
-        ]
-        candidates.sort(key=_eviction_order)
-        for each in candidates:
-            is_waiting = not each.unparsed and each.link.peek() is None
-            if each.is_half_closed or is_waiting:
-                self.rejected_count += 1
-                self.end_counts["evicted"] += 1
-                each.link.close()
-                self.connections.discard(each)
-                return True
-        return False
+        """Close one connection for its descriptor; returns whether there was one."""
+        connection = self._eviction_queue.take(self.connections)
+        if connection is None:
+            return False
+        self.rejected_count += 1
+        self.end_counts["evicted"] += 1
+        connection.link.close()
+        self.connections.discard(connection)
+        return True
 
     def close(self) -> None:
         """Stop accepting; connections end as soon as no request of theirs is in progress.
@@ -140,9 +130,3 @@
                 connection.half_close_if_idle()
             else:
                 self.loop.call_later(LATE_REQUEST_GRACE, connection.half_close_if_idle)
-
-
-def _eviction_order(connection: Connection) -> tuple[bool, float]:
-    """Sorts half-closed connections first, then by the time without a complete request."""
-    since = max(connection.request_started, connection.last_answered)
-    return (not connection.is_half_closed, since)
