broker: an attempt that ended is dropped at once, not at its time-out

Callers saw memory follow the rate of requests with large texts, also of answered ones: each stayed for the rest of its wait (up to 3 s).

Cause: AttemptTracker kept the attempts that time out at the same time in a list until that time, ended ones too; an attempt has its part, its query and the text.

Change: an attempt leaves its expiry when it ends.

--- a/bench/planted_defects/broker.py
+++ b/bench/planted_defects/broker.py
@@ -3,6 +3,14 @@
 from bench.planted_defects.defect import PlantedDefect
 
 DEFECTS = [
+    PlantedDefect(
+        path="stepknot/broker/attempt_tracker.py",
+        original="        self._drop_expiry(attempt)\n",
+        replacement="",
+        tests=(
+            "tests/platform/test_hard_cases.py::test_ended_attempt_and_its_text_are_dropped_at_once",
+        ),
+    ),
     PlantedDefect(
         path="stepknot/broker/client_query.py",
         original="return now if self.arrived is None else self.arrived",
--- a/bench/trace_packages/broker.py
+++ b/bench/trace_packages/broker.py
@@ -32,7 +32,7 @@
 from stepknot.zones.failover import ZoneFailover
 from stepknot.zones.settings import ZoneSettings
 
-EXPECTED = "92d1afcdff47f93449efb7c1f179afbde0dab33dc5bda20625142328e9296852"
+EXPECTED = "eda1f15baee2463321f514396919e95074df3065c2f8acf5c218e5afd0b1e788"
 
 START = 1000.0
 RULES = api.Rules(0.5, 0.2, 5.0, 3.0, 1.0, 5.0, 4.0, 10.0, 0.3)
--- a/stepknot/broker/attempt_tracker.py
+++ b/stepknot/broker/attempt_tracker.py
@@ -45,7 +45,8 @@
         self.loop, self.transport, self.counts, self.post = loop, transport, counts, post
         self.zones, self.zone_log = zones, zone_log
         self.in_flight: dict[tuple[int, int], Attempt] = {}
-        self.expiries: dict[float, list[Attempt]] = {}  # by the time at which they time out
+        # By the time at which they time out; those in flight alone, as an attempt has its request's text.
+        self.expiries: dict[float, dict[Attempt, None]] = {}
         transport.on_reply = self.on_reply
 
     def __len__(self) -> int:
@@ -85,15 +86,15 @@
             at = now + action.timeout
             expiring = self.expiries.get(at)
             if expiring is None:
-                expiring = []
+                expiring = {}
                 self.expiries[at] = expiring
                 self.loop.call_at(at, partial(self._on_expiry, expiring, at))
-            expiring.append(attempt)
+            expiring[attempt] = None
         return attempt
 
-    def _on_expiry(self, attempts: list[Attempt], at: float) -> None:
+    def _on_expiry(self, attempts: dict[Attempt, None], at: float) -> None:
         self.expiries.pop(at, None)
-        for attempt in attempts:
+        for attempt in list(attempts):
             self.loop.run_callback("expiry", self.end, attempt, api.Outcome.TIMED_OUT, {})
 
     def on_reply(self, attempt: Attempt, reply: PartReply, load: Load) -> None:
@@ -131,6 +132,7 @@
         part = attempt.part
         if self.in_flight.pop((part.part_id, attempt.number), None) is None:
             return
+        self._drop_expiry(attempt)
         self.counts[ENDED_COUNTERS[outcome]] += 1
         now = self.loop.now
         if self.zones is not None and self.zone_log is not None:
@@ -150,3 +152,11 @@
                 load,
             )
         )
+
+    def _drop_expiry(self, attempt: Attempt) -> None:
+        at = attempt.sent + attempt.wait
+        expiring = self.expiries.get(at)
+        if expiring is not None:
+            expiring.pop(attempt, None)
+            if not expiring:
+                del self.expiries[at]
--- a/tests/platform/test_hard_cases.py
+++ b/tests/platform/test_hard_cases.py
@@ -294,3 +294,24 @@
         (event,) = found.events("task_failed")
         assert event["error"] == "RuntimeError: broken"
         found.logged.clear()
+
+
+def test_ended_attempt_and_its_text_are_dropped_at_once() -> None:
+    """They were kept until the attempt would have timed out: large requests filled the memory after their answers."""
+    with world() as found:
+        text = "x" * 30_000
+        body = {"segments": [{"segment": 0, "boost": 1.0}], "text": text}
+        assert found.ask(body=body).status == 200
+        assert not found.call(lambda: dict(found.service.core.attempts.expiries))
+        found.nodes[0].script = lambda call: None
+        client = found.client()
+        client.sock.sendall(found.request(body=body))
+        until(lambda: len(found.nodes[0].calls) == 2)
+        frames = [
+            attempt.call.frame.data
+            for attempt in found.call(lambda: list(found.service.core.attempts.in_flight.values()))
+        ]
+        assert frames == [b""]  # the kernel has it
+        client.sock.close()
+        until(lambda: found.nodes[0].cancelled)
+        assert not found.call(lambda: dict(found.service.core.attempts.expiries))
