decisions: arrivals leave the attempt budget with its window

Callers would see memory grow with each query and part for as long as no attempt fails, also under floods of small requests: about 10 MB in 120 s at the highest rate, without end.

Cause: RetryBudget dropped arrivals before its window only when a retry was considered, and recorded them where no budget is set.

Change: they are dropped when the next one is recorded, and not recorded without a budget.

--- a/stepknot/decisions/retry_budget.py
+++ b/stepknot/decisions/retry_budget.py
@@ -21,7 +21,9 @@
 
     def record_arrival(self) -> None:
         """Count a query or a part."""
-        self.arrivals.append(self._turn.now)
+        if self._turn.settings.rules.extra_window > 0:
+            self._drop_earlier(self.arrivals)
+            self.arrivals.append(self._turn.now)
 
     def allows(self, is_needed: bool) -> bool:
         """Whether one more attempt is within the budget.
@@ -30,10 +32,8 @@
             is_needed: Whether the query cannot reach its floor without the part.
         """
         rules = self._turn.settings.rules
-        since = self._turn.now - rules.extra_window
         for times in (self.arrivals, self.retries):
-            while times and times[0] <= since:
-                times.popleft()
+            self._drop_earlier(times)
         allowed = rules.extra_floor + rules.extra_share * len(self.arrivals)
         if not is_needed:
             allowed *= 1 - RESERVED_BUDGET_SHARE
@@ -42,3 +42,9 @@
     def spend(self) -> None:
         """Count a further attempt."""
         self.retries.append(self._turn.now)
+
+    def _drop_earlier(self, times: deque[float]) -> None:
+        """Drop the times before the window."""
+        since = self._turn.now - self._turn.settings.rules.extra_window
+        while times and times[0] <= since:
+            times.popleft()
