platform: an id whose request may have run is not accepted again

Callers saw an id run twice: a client left while its request was with a node, and the same id came again on another connection.

Cause: an id was free again as soon as its request had ended, whatever became of the attempts that had been sent. X-Txn is fresh with every request, a client's retry included, so that one which comes again is not a usual client's.

--- a/bench/planted_defects/platform.py
+++ b/bench/planted_defects/platform.py
@@ -351,7 +351,15 @@
     ),
     PlantedDefect(
         path="stepknot/platform/service.py",
-        original="if ask.name in self.open_names:",
+        original="return was_sent and not (is_safe and is_complete)",
+        replacement="return False",
+        tests=(
+            "tests/platform/test_requests.py::test_id_of_a_client_that_left_is_rejected_when_it_comes_again",
+        ),
+    ),
+    PlantedDefect(
+        path="stepknot/platform/service.py",
+        original="if not self.request_ids.begin(self.loop.now, ask.name):",
         replacement="if False:",
         tests=(
             "tests/platform/test_requests.py::test_second_request_of_an_open_id_is_rejected_and_the_first_is_answered",
--- a/stepknot/platform/service.py
+++ b/stepknot/platform/service.py
@@ -20,8 +20,10 @@
 
 from stepknot.broker.core import Core, CoreOptions
 from stepknot.broker.process import BrokerProcess
+from stepknot.broker.query import Query, QueryResult, QueryStatus
 from stepknot.decisions.memory_budget import MemoryBudget, request_memory
-from stepknot.interface import ListKind, ListReceived, ServerState
+from stepknot.decisions.request_ids import RequestIds
+from stepknot.interface import Effect, ListKind, ListReceived, ServerState
 from stepknot.net.connection import Connection
 from stepknot.net.errors import HttpError
 from stepknot.net.http import HttpLimits, Request, Response
@@ -55,6 +57,7 @@
 CLIENT_FRACTION = 0.6
 IDLE_CLIENT_FRACTION = 0.2  # between two requests: new clients must find that third
 RESERVED_DESCRIPTORS = 16  # for the loop, the listener, discovery and the logs
+REQUEST_ID_DEADLINES = 10.0  # of the longest deadline: for so long an id is not accepted again
 READINESS_TIMEOUT = 2.0  # seconds after which the cached list suffices, also where lists are pushed
 ACCEPT_AFTER_STOP = 0.5  # seconds for which new connections still come after SIGTERM
 WRITE_TIMEOUT_AT_STOP = 1.0  # seconds for what is being written
@@ -72,7 +75,7 @@
     """One broker on the platform.
 
     Attributes:
-        open_names: identifiers of the requests in flight; a second request of one is answered with 409.
+        request_ids: a second request of one that is open or may have run is answered with 409.
     """
 
     def __init__(
@@ -114,7 +117,7 @@
             self.core.update_endpoints(to_list_event(cached, ListKind.CACHED))
         self.core.post(NO_CHANGES)  # the module asks for the list in turn one
         self.catalog = requests.Catalog(config.settings.classes, config.shard_count)
-        self.open_names: set[str] = set()
+        self.request_ids = RequestIds(self._request_id_retention())
         self.server = self._make_server()
         self.client_log = ClientLog(self.server, log)
         loop.call_every(REPORT_INTERVAL, self.client_log.report)
@@ -208,19 +211,32 @@
             self._reject_request(error.status, error.reason, request)
             return requests.build_error_response(error.status, error.reason)
         request.body = b""  # the parts have its text
-        if ask.name in self.open_names:
-            reason = "a request of this id is in work"
+        if not self.request_ids.begin(self.loop.now, ask.name):
+            reason = "a request of this id is in work or may have run"
             self._reject_request(CONFLICT, reason, request)
             return requests.build_error_response(CONFLICT, reason)
-        self.open_names.add(ask.name)
+        result = None
         try:
             self.core.submit(ask)
             connection.on_disconnect(lambda: self.core.on_client_disconnected(ask))
             result = yield from ask.done.wait()
         finally:
-            self.open_names.discard(ask.name)
+            self.request_ids.end(self.loop.now, ask.name, self._may_repeat_effect(ask, result))
         return requests.build_response(ask, result) if result is not None else None
 
+    def _request_id_retention(self) -> float:
+        """Seconds: an attempt that was given up may run as long as its client would have waited."""
+        classes = self.config.settings.classes.values()
+        longest = max((max(each.deadline, each.repeat_window) for each in classes), default=0.0)
+        return REQUEST_ID_DEADLINES * longest
+
+    def _may_repeat_effect(self, ask: Query, result: QueryResult | None) -> bool:
+        """Whether a second request of the id could run a part again that may have run, or may yet."""
+        was_sent = any(part.attempts for part in ask.parts)
+        is_safe = self.config.settings.classes[ask.class_name].effect is Effect.SAFE
+        is_complete = result is not None and result.status is not QueryStatus.FAILED
+        return was_sent and not (is_safe and is_complete)
+
     def _arrival_time(self, request: Request) -> float:
         """When the request may have arrived, by the loop's clock.
 
