broker: a signal that comes while the process exits does not change its exit code

Callers saw a process end with -15 or -1 instead of 0 where signals came in series.

Cause: the interpreter restores the default actions of all signals before it ends; a SIGTERM or SIGHUP from then on kills it.

Change: BrokerProcess.run_loop blocks both signals once the loop has ended, as the start blocks them until it runs.

A test may give a process its port.

--- a/bench/planted_defects/broker.py
+++ b/bench/planted_defects/broker.py
@@ -3,6 +3,14 @@
 from bench.planted_defects.defect import PlantedDefect
 
 DEFECTS = [
+    PlantedDefect(
+        path="stepknot/broker/process.py",
+        original="        signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)\n",
+        replacement="",
+        tests=(
+            "tests/platform/test_service.py::test_signals_in_series_do_not_change_the_exit_code",
+        ),
+    ),
     PlantedDefect(
         path="stepknot/broker/attempt_tracker.py",
         original="        self._drop_expiry(attempt)\n",
--- a/stepknot/broker/process.py
+++ b/stepknot/broker/process.py
@@ -64,6 +64,8 @@
         gc.freeze()
         gc.set_threshold(GC_THRESHOLD, 100, 1000)
         self.loop.run()
+        # The interpreter restores the default actions before the process ends; signals may come in series.
+        signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
 
     def stop(self) -> None:
         """Start the graceful shutdown; later calls do nothing."""
--- a/tests/platform/test_service.py
+++ b/tests/platform/test_service.py
@@ -45,12 +45,17 @@
     """
 
     def __init__(
-        self, folder: Path, shared: Process | None = None, name: str = "n0", **changes: Any
+        self,
+        folder: Path,
+        shared: Process | None = None,
+        name: str = "n0",
+        port: int = 0,
+        **changes: Any,
     ) -> None:
         self.nodes = shared.nodes if shared else [Node(), Node()]
         rows = [row(node, number) for number, node in enumerate(self.nodes)]
         self.discovery = shared.discovery if shared else Discovery(rows)
-        self.listen = ("127.0.0.1", free_port())
+        self.listen = ("127.0.0.1", port or free_port())
         self.file = folder / f"{name}.json"
         self.given: dict[str, Any] = {
             "name": name,
@@ -314,6 +319,17 @@
     ) and b'"event":"cached_list_rejected"' in told
 
 
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM])
+def test_signals_in_series_do_not_change_the_exit_code(tmp_path: Path, number: int) -> None:
+    """The interpreter restores the default actions before it ends: one more signal killed the process."""
+    with started(tmp_path) as found:
+        found.process.send_signal(signal.SIGTERM)
+        while found.process.poll() is None:
+            found.process.send_signal(number)
+            time.sleep(0.001)  # far less than the interpreter takes to end
+        assert found.process.returncode == 0
+
+
 def test_nine_of_ten_processes_on_one_core_are_ready_in_time(tmp_path: Path) -> None:
     """Started together on one core, with discovery down and lists as last had that are empty, old or malformed."""
     with started(tmp_path) as first:
