--- a/stepknot/decisions/__init__.py
+++ b/stepknot/decisions/__init__.py
@@ -11,6 +11,7 @@
     hedging, retry_budget, retries         second attempts and the limit on their number
     answers, load_shedding, outcomes       wait and final answer; placement or rejection; ends of attempts
     aggregator                             passes each event to the module that handles it
+    memory_budget, request_ids             memory of clients' requests; ids that may have run: not for servers
 
 Invariants. Each aggregator keeps them without the others; tests and planted defects refer to their numbers.
 
