net: a connection that is half-closed while it waits for its turn begins no request

Cause: requests that wait for their turn are dropped with a half-close, such as by the check of how fast the next one arrives; the task went on and took a request from an empty list. Found on re-reading; no caller saw it.

Change: the task ends where the connection was half-closed while it waited.

Result: tests/net/test_server.py half_close_drops failed before (IndexError) and passes.

--- a/stepknot/decisions/memory_budget.py
+++ b/stepknot/decisions/memory_budget.py
@@ -8,9 +8,8 @@
 
 from collections.abc import Hashable
 
-REQUEST_MEMORY_SHARE = (
-    1 / 8
-)  # of the memory that is left at the start; allocators need several times the bytes
+# Of the memory that is left at the start. Allocators need several times the bytes that requests hold.
+REQUEST_MEMORY_SHARE = 1 / 8
 MIN_REQUEST_MEMORY = 512 * 1024  # bytes: for a few of the largest requests
 SMALL_REQUEST_BYTES = 4 * 1024  # of memory; counted as a part of each connection
 
--- a/stepknot/net/connection.py
+++ b/stepknot/net/connection.py
@@ -320,6 +320,8 @@
                 self.server.abandoned_count += len(requests)
                 self.server.end_counts["disconnected"] += 1
                 return False
+            if self.is_half_closed:  # while it waited
+                return False
             request = requests.pop(0)
             request.arrived = arrived
             self._begin_progress(request)
--- a/tests/net/test_server.py
+++ b/tests/net/test_server.py
@@ -230,6 +230,21 @@
     sock.close()
 
 
+def test_half_close_drops_requests_that_wait_for_their_turn(front: Front) -> None:
+    """A check of how fast the next request arrives ended the connection, and its task took a request that was gone."""
+    sock = front.client(ASK * 3 * ANSWER_BATCH)
+    front.until(lambda: front.taken)
+    (connection,) = front.server.connections
+    assert connection.parser.requests
+    connection.half_close()
+    count = len(front.taken)
+    front.until(
+        lambda: connection.link.reader
+    )  # it reads and drops; an error of the task is raised here
+    assert front.answer_to(sock).count(b"HTTP/1.1 200") == count == len(front.taken)
+    sock.close()
+
+
 def test_disconnect_behind_more_bytes_than_are_read_ahead_is_noticed(front: Front) -> None:
     """Its end stood behind bytes that nobody read while its request was in work."""
     front.server.one_at_a_time, front.hold = True, Future()
