net: a compressed body counts to the memory budget by its decompressed size

Cause: the estimate of a parsed request's memory took the bytes that were received; a body of 64 KiB in 319 bytes of gzip held 64 KiB that no budget counted, several in a piece of 512 bytes, on each connection.

Change: the estimate takes the body's size after decompression.

--- a/stepknot/net/http.py
+++ b/stepknot/net/http.py
@@ -341,7 +341,7 @@
                 body,
                 bool(self.parser.should_keep_alive()),
                 self.parser.get_http_version() == "1.0",
-                memory=self._incomplete_memory(),
+                memory=self._incomplete_memory() - len(self.body) + len(body),
             )
         )
         self.started = False
--- a/tests/net/test_request_memory.py
+++ b/tests/net/test_request_memory.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from stepknot.net.http import ServerParser
+from stepknot.net.http import ServerParser, gzipped
 from tests.net.test_http import CHUNKED, HEAD, LIMITS
 
 
@@ -33,3 +33,11 @@
     bound = 2 * memory_of(plain) + LIMITS.header
     assert memory_of(chunks) < bound
     assert memory_of(in_writes) < bound
+
+
+def test_memory_of_a_compressed_body_is_that_of_the_decompressed_one() -> None:
+    """A request of 200 bytes held 64 KiB that no budget counted."""
+    data = gzipped(bytes(LIMITS.body))
+    parser = ServerParser(LIMITS)
+    parser.feed(HEAD + b"content-encoding: gzip\r\ncontent-length: %d\r\n\r\n" % len(data) + data)
+    assert len(data) < 500 and parser.memory > LIMITS.body
