--- a/review/9/case.py
+++ b/review/9/case.py
@@ -13,7 +13,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 from lab2 import Broker, Discovery, Lab, Node, Part, Record, lane, make_settings, run_case
 
-CLASS, AIM, DEADLINE = "history", 1.2, 3.0  # seconds; DEADLINE is also the client's time
+CLASS, AIM, DEADLINE = "term-report", 3.0, 6.0  # seconds; DEADLINE is also the client's time
 WORK = 0.04  # seconds of a part at a node
 LISTED = 3200  # nodes: the most that the pages name
 REPLICAS = 3  # of each shard; there are as many shards as nodes
@@ -21,8 +21,8 @@
     0.6  # of the nodes; two of three neighbours at most, so that each shard keeps a node that stays
 )
 WATCHED = 7.0  # seconds after the change for which clients go on
-GRACE = 0.5 + 0.05  # seconds of `drain-grace-ns`, and the slack of the sockets
-CLIENTS = 40
+GRACE = 0.25 + 0.05  # seconds of `drain-grace-ns`, and the slack of the sockets
+CLIENTS = 60
 KEEP_ALIVE = 2.0  # seconds
 
 
@@ -97,7 +97,14 @@
         for number in range(LISTED)
     ]
     discovery = LineDiscovery(lab.record, rows)
-    settings = make_settings([lane(CLASS, AIM, DEADLINE)], cells=LISTED, span=REPLICAS, brokers=2)
+    settings = make_settings(
+        [lane(CLASS, AIM, DEADLINE)],
+        cells=LISTED,
+        span=REPLICAS,
+        brokers=3,
+        rules={"drain-grace-ns": 250_000_000},
+        allowed={"max-attempts": 4},
+    )
     broker = Broker(lab, settings, discovery)
     broker.start()
     end = lab.record.now() + 2.0 + WATCHED
