platform: a list in small chunks is parsed in proportion to its length

The list was never received, as the call was given up.

Cause: WatchParser.on_body joined the incomplete line with each chunk and split the whole again, so that a line cost the square of its length.

Change: the incomplete line is one buffer that grows; only the new bytes are searched for the line's end.

--- a/bench/planted_defects/platform.py
+++ b/bench/planted_defects/platform.py
@@ -191,6 +191,14 @@
             "tests/platform/test_watch_parser.py::test_message_that_never_closes_its_brackets_raises_at_the_bound",
         ),
     ),
+    PlantedDefect(
+        path="stepknot/platform/watch_parser.py",
+        original="self._line += end_of_line",
+        replacement="self._line = self._line + end_of_line",
+        tests=(
+            "tests/platform/test_list_cost.py::test_line_in_small_chunks_costs_in_proportion_to_its_length",
+        ),
+    ),
     PlantedDefect(
         path="stepknot/platform/discovery.py",
         original="elif task is self.opening_watch:\n                    continue",
--- a/stepknot/platform/watch_parser.py
+++ b/stepknot/platform/watch_parser.py
@@ -18,7 +18,8 @@
     """Parses an HTTP response that stays open.
 
     A message is a JSON object on one line or, indented, on several; an empty line between two
-    objects is a keep-alive and comes out as an empty message.
+    objects is a keep-alive and comes out as an empty message. Each byte is copied and searched a bounded
+    number of times, however the stream is cut into chunks and reads.
 
     Attributes:
         status: the response's status, 0 before it was received.
@@ -29,7 +30,7 @@
         self.status = 0
         self.is_complete = False
         self._http = httptools.HttpResponseParser(self)
-        self._line = b""  # the part that was received of a line
+        self._line = bytearray()  # the part that was received of a line
         self._object = bytearray()  # the complete lines of an object that is not complete
         self._depth = 0  # of brackets that are open in it
         self._messages: list[bytes] = []
@@ -61,16 +62,27 @@
     def on_body(self, body: bytes) -> None:
         """Bytes of the body were received."""
         self._line_bound.on_body(len(body))
-        *lines, self._line = (self._line + body).split(b"\n")
+        end_of_line, *lines = body.split(b"\n")
+        self._line += end_of_line
+        if lines:
+            self._end_line()
+            *complete_lines, incomplete_line = lines
+            for line in complete_lines:
+                self._add_line(line)
+            self._line += incomplete_line
         if len(self._line) + len(self._object) > MAX_MESSAGE_BYTES:
             raise ValueError(f"a message over {MAX_MESSAGE_BYTES} bytes")
-        for line in lines:
-            self._add_line(line)
 
     def on_message_complete(self) -> None:
         """The response ended."""
         self.is_complete = True
 
+    def _end_line(self) -> None:
+        """Add the line that was received in parts."""
+        line = bytes(self._line)
+        self._line.clear()
+        self._add_line(line)
+
     def _add_line(self, line: bytes) -> None:
         if not self._object and not line.strip():
             self._messages.append(b"")
--- /dev/null
+++ b/tests/platform/test_list_cost.py
@@ -0,0 +1,57 @@
+"""The processor time of following a large endpoint list: in proportion to what is received, not to its square."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import orjson
+import pytest
+
+from stepknot.platform.watch_parser import WatchParser
+from tests.platform.test_endpoint_list import LIST
+from tests.platform.test_watch_parser import HEAD, chunk
+
+pytestmark = pytest.mark.measures_time
+
+SMALL, LARGE = 200, 3200  # nodes of a fleet
+RATIO = LARGE / SMALL
+MAX_RATIO = RATIO**1.5  # between that of a cost in proportion and that of the square
+REPEATS = 3
+
+
+def processor_time(run: Callable[[], object]) -> float:
+    """Seconds of the fastest of some runs."""
+    times = []
+    for _ in range(REPEATS):
+        begun = time.thread_time()
+        run()
+        times.append(time.thread_time() - begun)
+    return min(times)
+
+
+def list_line(nodes: int) -> bytes:
+    rows = [LIST["servers"][0] | {"id": f"s-{number:08x}"} for number in range(nodes)]  # type: ignore[index]
+    return orjson.dumps(LIST | {"servers": rows}) + b"\n"
+
+
+@pytest.mark.parametrize("piece", [1, 4, 16, 64])
+def test_line_in_small_chunks_costs_in_proportion_to_its_length(piece: int) -> None:
+    """Each chunk copied and searched the whole incomplete line: a long list stopped the loop for seconds."""
+
+    def parse_cost(nodes: int) -> float:
+        line = list_line(nodes)
+        cuts = range(0, len(line), piece)
+        stream = b"".join(chunk(line[place : place + piece]) for place in cuts)
+
+        def parse() -> None:
+            parser = WatchParser()
+            parser.feed(HEAD)
+            found = []
+            for place in range(0, len(stream), 65536):
+                found += parser.feed(stream[place : place + 65536])
+            assert found == [line[:-1]]
+
+        return processor_time(parse)
+
+    assert parse_cost(LARGE) < MAX_RATIO * parse_cost(SMALL)
