platform: opening a connection to a node costs the same in a fleet of any size

Cause: ConnectionPool.open went through all nodes to count the connections, and once the limit was reached a second time to find the idle connection that was used least recently.

Change: the pool keeps its connections and, in the order in which they became idle, those that are idle. A connection reports that wherever something that kept it in use ends. One that is in use again is dropped when it is found, so that each report pays for one removal. What is evicted is now the connection that has been idle the longest; before, the one that last wrote or received the longest ago.

A second fault of the counting goes with it: a connection that was opened as its node left the pool was not counted and could not be evicted (test_connection_opened_as_its_node_leaves_the_pool_counts_to_the_limit failed before).

--- a/bench/planted_defects/platform.py
+++ b/bench/planted_defects/platform.py
@@ -110,6 +110,52 @@
         ),
         invariant="9",
     ),
+    PlantedDefect(
+        path="stepknot/platform/node_connection.py",
+        original="            self.queue.remove_attempt(frame, attempt)\n            self._report_if_idle()\n",
+        replacement="            self.queue.remove_attempt(frame, attempt)\n",
+        tests=(
+            "tests/platform/test_hard_cases.py::test_connection_whose_unwritten_call_was_removed_can_be_evicted",
+        ),
+    ),
+    PlantedDefect(
+        path="stepknot/platform/node_connection.py",
+        original="                self._withdraw(frame, attempt, reason)\n        self._report_if_idle()\n",
+        replacement="                self._withdraw(frame, attempt, reason)\n",
+        tests=(
+            "tests/platform/test_hard_cases.py::test_connection_whose_unwritten_call_was_removed_can_be_evicted",
+        ),
+    ),
+    PlantedDefect(
+        path="stepknot/platform/node_connection.py",
+        original="            self.probes[probe_type] = None\n            self._report_if_idle()\n",
+        replacement="            self.probes[probe_type] = None\n",
+        tests=(
+            "tests/platform/test_nodes.py::test_late_answer_to_a_probe_is_not_taken_for_a_new_probe",
+        ),
+    ),
+    PlantedDefect(
+        path="stepknot/platform/node_connection.py",
+        original="        self._flush()\n        self._report_if_idle()\n",
+        replacement="        self._flush()\n",
+        tests=("tests/platform/test_nodes.py::test_late_answer_is_not_taken_for_a_later_attempt",),
+    ),
+    PlantedDefect(
+        path="stepknot/platform/node_connection.py",
+        original="        error = reader.error or error\n        self._report_if_idle()\n",
+        replacement="        error = reader.error or error\n",
+        tests=(
+            "tests/platform/test_nodes.py::test_calls_on_one_connection_are_answered_in_any_order",
+        ),
+    ),
+    PlantedDefect(
+        path="stepknot/platform/idle_connections.py",
+        original="            if connection.is_idle:\n",
+        replacement="            if True:\n",
+        tests=(
+            "tests/platform/test_hard_cases.py::test_call_queued_as_its_connection_becomes_idle_or_evictable_keeps_it",
+        ),
+    ),
     PlantedDefect(
         path="stepknot/platform/connection_pool.py",
         original="len(connection.in_flight) + len(attempts) <= self._max_parts",
--- a/bench/trace_packages/platform.py
+++ b/bench/trace_packages/platform.py
@@ -29,7 +29,7 @@
 from stepknot.platform.nodes import Nodes
 from stepknot.platform.watch_parser import WatchParser
 
-EXPECTED = "6b5a29b9c2ded8ccd8d82103ce77683d5f6455a89fc85fd819c61d840f0297b3"
+EXPECTED = "9303ba9454f62eaa7af0eca33d21eda918f193f462fc4fa4d2a3c392079ff56a"
 
 
 def record(trace: Trace) -> None:
--- a/stepknot/platform/connection_pool.py
+++ b/stepknot/platform/connection_pool.py
@@ -7,6 +7,7 @@
 from stepknot.net.loop import Loop
 from stepknot.nodes.transport import OnReply, OutgoingAttempt, ignore_reply
 from stepknot.platform.endpoint_list import NodeAddress
+from stepknot.platform.idle_connections import IdleConnections
 from stepknot.platform.node_connection import Node, NodeConnection
 
 IDLE_FRACTION = (
@@ -19,6 +20,7 @@
 
     Attributes:
         nodes: by name, those listed and those that still have connections.
+        idle: the connections that are idle, and some that are in use again.
         on_reply: called with the end of each attempt.
         opened_count: connections that were opened since the start.
         rejected_count: connections that were not opened, as no descriptor was left.
@@ -48,6 +50,7 @@
         self.connect_timeout = connect_timeout
         self.on_reply: OnReply = ignore_reply
         self.nodes: dict[str, Node] = {}
+        self.idle = IdleConnections()
         self.opened_count = 0
         self.rejected_count = 0
         self.malformed_count = 0
@@ -55,6 +58,7 @@
         self._idle_timeout = idle_timeout
         self._max_connections = max_connections
         self._log = log
+        self._connections: dict[NodeConnection, None] = {}  # in the order in which they were opened
         # Connections with something to write at the end of the turn, in order.
         self._write_scheduled: dict[NodeConnection, None] = {}
         loop.turn_hooks.append(self._flush_scheduled)
@@ -99,12 +103,11 @@
 
     def count_open(self) -> int:
         """Connections that are open or being opened."""
-        return sum(len(node.connections) for node in self.nodes.values())
+        return len(self._connections)
 
     def connections(self) -> Iterator[NodeConnection]:
         """All connections; they may end while they are iterated over."""
-        for node in list(self.nodes.values()):
-            yield from list(node.connections)
+        yield from list(self._connections)
 
     def select(self, name: str, attempts: list[OutgoingAttempt]) -> NodeConnection | None:
         """The busiest connection to the node that has capacity for the attempts, or a new one.
@@ -138,16 +141,17 @@
         self.opened_count += 1
         connection = NodeConnection(self, node, self.opened_count)
         node.connections.append(connection)
+        self._connections[connection] = None
         self.loop.spawn(connection.run(), "node")
         return connection
 
     def evict_idle(self) -> bool:
-        """Close the idle connection that was used least recently; returns whether there was one."""
-        idle = [connection for connection in self.connections() if connection.is_idle]
-        if idle:
-            least_recent = min(idle, key=lambda connection: connection.last_used)
-            least_recent.end("its descriptor is needed")
-        return bool(idle)
+        """Close the connection that has been idle the longest; returns whether there was one."""
+        connection = self.idle.pop_longest()
+        if connection is None:
+            return False
+        connection.end("its descriptor is needed")
+        return True
 
     def close_idle_too_long(self) -> None:
         """Close connections that were idle for as long as nodes nearly allow."""
@@ -168,9 +172,15 @@
         self._write_scheduled[connection] = None
         self.loop.again = True
 
+    def on_idle(self, connection: NodeConnection) -> None:
+        """The connection became idle, or was used and is idle again."""
+        self.idle.add(connection)
+
     def remove(self, connection: NodeConnection) -> None:
         """The connection ended."""
         connection.node.connections.remove(connection)
+        del self._connections[connection]
+        self.idle.discard(connection)
         self._drop_unlisted(connection.node)
         self._write_scheduled.pop(connection, None)
 
--- a/stepknot/platform/node_connection.py
+++ b/stepknot/platform/node_connection.py
@@ -73,6 +73,9 @@
     def schedule_write(self, connection: NodeConnection) -> None:
         """Call `flush` at the end of this turn of the loop."""
 
+    def on_idle(self, connection: NodeConnection) -> None:
+        """The connection became idle, or was used and is idle again."""
+
     def remove(self, connection: NodeConnection) -> None:
         """The connection ended."""
 
@@ -179,6 +182,7 @@
         """Nobody waits for the probe's answer any more; it may still be received."""
         if probe_type in self.probes:
             self.probes[probe_type] = None
+            self._report_if_idle()
 
     def cancel(self, frame: QueuedFrame, attempt: OutgoingAttempt) -> None:
         """Nobody waits for the attempt any more; its `call` is None already (invariant 7)."""
@@ -186,6 +190,7 @@
         self._forget_in_flight(part_id)
         if not frame.sent:
             self.queue.remove_attempt(frame, attempt)
+            self._report_if_idle()
             return
         if not frame.is_sent and not any(each.call for each in frame.attempts):
             self.end("half of a call that nobody waits for")  # its last byte would begin it
@@ -200,6 +205,12 @@
         for frame in list(self.queue.frames):
             for attempt in list(frame.attempts):
                 self._withdraw(frame, attempt, reason)
+        self._report_if_idle()
+
+    def _report_if_idle(self) -> None:
+        """Called wherever something that kept the connection in use may have ended."""
+        if self.is_idle and not self.has_ended:
+            self.owner.on_idle(self)
 
     def _enqueue(self, frame: QueuedFrame) -> None:
         self.queue.frames.append(frame)
@@ -233,6 +244,10 @@
 
     def flush(self) -> None:
         """Write what is queued as far as the kernel takes it, and the rest when it takes more."""
+        self._flush()
+        self._report_if_idle()
+
+    def _flush(self) -> None:
         link, now = self.link, self.owner.loop.now
         if link is None or link.closed:
             return
@@ -296,6 +311,7 @@
         if self.in_flight or self.probes:
             self.unanswered_since = now
         error = reader.error or error
+        self._report_if_idle()
         if error:
             self.owner.on_malformed(self, error)
         elif not self.node.is_listed and self.is_idle:
--- a/tests/platform/test_hard_cases.py
+++ b/tests/platform/test_hard_cases.py
@@ -252,6 +252,43 @@
         until(lambda: len(found.nodes[0].calls) == 2)
 
 
+def test_connection_opened_as_its_node_leaves_the_pool_counts_to_the_limit() -> None:
+    """The pool lost sight of it: it took a descriptor beyond the limit and could not be evicted."""
+    with world() as found:
+        pool = found.service.nodes.pool
+        assert found.ask().status == 200
+        (conn,) = connections(found)
+
+        def reopen() -> tuple[bool, int]:
+            conn.node.is_listed = False  # it left the list while a call was in flight
+            conn.unanswered_since = -1e9  # and has not answered since
+            return pool.select("s-0", []) in list(pool.connections()), pool.count_open()
+
+        assert found.call(reopen) == (True, 1) and conn.has_ended
+
+
+@pytest.mark.parametrize("how", ["cancelled", "withdrawn"])
+def test_connection_whose_unwritten_call_was_removed_can_be_evicted(how: str) -> None:
+    with world() as found:
+        nodes = found.service.nodes
+        assert found.ask().status == 200
+        (conn,) = connections(found)
+        part = OutgoingAttempt(CallPart(b"x.0", 0, b"t"), "x", 1.0)
+        found.call(lambda: setattr(nodes, "on_reply", lambda attempt, reply, load: None))
+
+        def remove() -> bool:
+            conn.is_flushing = True  # as where the kernel takes no more
+            nodes.send("s-0", [part])
+            is_evicted = nodes.pool.evict_idle()
+            if how == "cancelled":
+                nodes.cancel(part)
+            else:
+                nodes.withdraw("s-0")
+            return not is_evicted and nodes.pool.evict_idle()
+
+        assert found.call(remove) and conn.has_ended
+
+
 def test_connection_that_comes_up_after_its_parts_ended_is_sent_nothing() -> None:
     with world(connect_timeout_ns=5e9) as found:
         listener, filler = full(found)
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -336,6 +336,12 @@
         return int(sock.getsockname()[1])
 
 
+def check_idle_connections(service: Service) -> None:
+    """The pool knows of each idle connection, in whatever way it became idle: each one can be evicted."""
+    pool = service.nodes.pool
+    assert all(each in pool.idle for each in pool.connections() if each.is_idle)
+
+
 @contextmanager
 def world(
     nodes: int = 2,
@@ -374,6 +380,7 @@
         lambda event, **fields: logged.append((event, fields)),
         lambda: parse_config(orjson.dumps(given), "test"),
     )
+    service.loop.turn_hooks.append(lambda: check_idle_connections(service))
     thread = start_loop_thread(service)
     found = World(service, stand_ins, discovery, config, given, thread, logged)
     try:
