tests: one module measures processor time at two sizes

Cause: test_pool_cost.py took its sizes and its clock from test_list_cost.py, and the next packages need them, too.

Change: tests/costs.py has them; what a run needs can be prepared outside the time that is measured. Sizes, bounds and checks are the same.

--- a/tests/platform/test_list_cost.py
+++ b/tests/platform/test_list_cost.py
@@ -2,37 +2,25 @@
 
 from __future__ import annotations
 
-import time
-from collections.abc import Callable
-
 import orjson
 import pytest
 
 from stepknot.decisions import Aggregator
 from stepknot.interface import ListKind, ListReceived, ServerState
 from stepknot.platform.watch_parser import WatchParser
+from tests.costs import (
+    LARGE,
+    MAX_RATIO_IN_PROPORTION,
+    MAX_RATIO_OF_CONSTANTS,
+    SMALL,
+    processor_time,
+)
 from tests.helpers import entry, make_settings
 from tests.platform.test_endpoint_list import LIST
 from tests.platform.test_watch_parser import HEAD, chunk
 
 pytestmark = pytest.mark.measures_time
 
-SMALL, LARGE = 200, 3200  # nodes of a fleet
-RATIO = LARGE / SMALL
-MAX_RATIO = RATIO**1.5  # between that of a cost in proportion and that of the square
-MAX_RATIO_OF_CONSTANTS = RATIO**0.5  # between that of a cost that is the same and one in proportion
-REPEATS = 3
-
-
-def processor_time(run: Callable[[], object]) -> float:
-    """Seconds of the fastest of some runs."""
-    times = []
-    for _ in range(REPEATS):
-        begun = time.thread_time()
-        run()
-        times.append(time.thread_time() - begun)
-    return min(times)
-
 
 def list_line(nodes: int) -> bytes:
     rows = [LIST["servers"][0] | {"id": f"s-{number:08x}"} for number in range(nodes)]  # type: ignore[index]
@@ -48,17 +36,15 @@
         cuts = range(0, len(line), piece)
         stream = b"".join(chunk(line[place : place + piece]) for place in cuts)
 
-        def parse() -> None:
-            parser = WatchParser()
-            parser.feed(HEAD)
-            found = []
+        def parse(parser: WatchParser) -> None:
+            found = parser.feed(HEAD)
             for place in range(0, len(stream), 65536):
                 found += parser.feed(stream[place : place + 65536])
             assert found == [line[:-1]]
 
-        return processor_time(parse)
+        return processor_time(parse, WatchParser)
 
-    assert parse_cost(LARGE) < MAX_RATIO * parse_cost(SMALL)
+    assert parse_cost(LARGE) < MAX_RATIO_IN_PROPORTION * parse_cost(SMALL)
 
 
 @pytest.mark.parametrize("changes_per_event", [1, 10, SMALL])
@@ -74,6 +60,6 @@
         places = range(0, SMALL, changes_per_event)
         batches = [tuple(draining[place : place + changes_per_event]) for place in places]
         events = [ListReceived(ListKind.CHANGES, batch) for batch in batches]
-        return processor_time(lambda: aggregator.handle(101.0, list(events)))
+        return processor_time(lambda given: aggregator.handle(101.0, given), events.copy)
 
     assert change_cost(LARGE) < MAX_RATIO_OF_CONSTANTS * change_cost(SMALL)
--- a/tests/platform/test_pool_cost.py
+++ b/tests/platform/test_pool_cost.py
@@ -9,13 +9,7 @@
 from stepknot.net.loop import Loop
 from stepknot.platform.connection_pool import ConnectionPool
 from stepknot.platform.endpoint_list import NodeAddress
-from tests.platform.test_list_cost import (
-    LARGE,
-    MAX_RATIO_OF_CONSTANTS,
-    REPEATS,
-    SMALL,
-    processor_time,
-)
+from tests.costs import LARGE, MAX_RATIO_OF_CONSTANTS, REPEATS, SMALL, processor_time
 
 pytestmark = pytest.mark.measures_time
 
@@ -44,7 +38,9 @@
         with socket.create_server(("127.0.0.1", 0), backlog=2 * MAX_CONNECTIONS) as listener:
             pool = make_full_pool(listener, nodes)
             node = pool.nodes[f"s-{nodes - 1}"]
-            cost = processor_time(lambda: [pool.open(node) for _ in range(OPENED)])
+            cost = processor_time(
+                lambda each: [pool.open(each) for _ in range(OPENED)], lambda: node
+            )
             assert pool.count_open() == MAX_CONNECTIONS and not pool.rejected_count
             pool.close()
         return cost
