nodes: evicting a connection costs the same in a fleet of any size

What callers would see: stepknot serve at its limit of connections to nodes went through all nodes that were ever listed for each connection that it opened.

Cause: ConnectionPool._evict_idle looked for the oldest of the idle connections of all nodes.

Change: the pool keeps all idle connections in the order in which they became idle, with their nodes; which connection is evicted is the same as before.

--- a/stepknot/nodes/connection_pool.py
+++ b/stepknot/nodes/connection_pool.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -97,6 +97,8 @@
         self._max_total = max_total
         self._nodes: dict[str, NodeConnections] = {}
         self._open = 0  # connections that are open or being opened
+        # All idle connections with their nodes, the one that was used least recently first.
+        self._idle: OrderedDict[Link, NodeConnections] = OrderedDict()
 
     def authority(self, address: str) -> str:
         """An address as in a request's `host` header."""
@@ -116,7 +118,7 @@
         """Close the idle connections to a node."""
         node = self._nodes.get(address)
         while node is not None and node.idle:
-            self._close(node, node.idle.pop().link)
+            self._close(node, self._pop_latest(node))
 
     def close(self) -> None:
         """Close all idle connections."""
@@ -215,7 +217,7 @@
     def _take_idle(self, node: NodeConnections) -> Link | None:
         """The connection that was used last; those that were closed meanwhile or have unsolicited bytes are closed."""
         while node.idle:
-            link = node.idle.pop().link
+            link = self._pop_latest(node)
             link.on_peer_closed = None
             if not link.closed and not link.peer_closed and link.peek() is None:
                 self.reused += 1
@@ -229,6 +231,7 @@
         def on_peer_closed() -> None:
             if idle in node.idle:
                 node.idle.remove(idle)
+                del self._idle[link]
                 self._close(node, link)
 
         link.on_peer_closed = on_peer_closed
@@ -236,6 +239,7 @@
             self._close(node, link)
             return
         node.idle.append(idle)
+        self._idle[link] = node
         if self._idle_seconds:
             self._loop.call_later(self._idle_seconds, lambda: self._close_expired(node))
 
@@ -243,17 +247,28 @@
         """Close the connections that are idle for longer than they are kept."""
         latest = self._loop.now - self._idle_seconds + TIMER_TOLERANCE
         while node.idle and node.idle[0].since <= latest:
-            self._close(node, node.idle.popleft().link)
+            self._close(node, self._pop_earliest(node))
 
     def _evict_idle(self) -> bool:
         """Close the least recently used idle connection; returns whether there was one."""
-        nodes = [node for node in self._nodes.values() if node.idle]
-        if not nodes:
+        if not self._idle:
             return False
-        node = min(nodes, key=lambda each: each.idle[0].since)
-        self._close(node, node.idle.popleft().link)
+        node = next(iter(self._idle.values()))
+        self._close(node, self._pop_earliest(node))
         return True
 
+    def _pop_latest(self, node: NodeConnections) -> Link:
+        """Remove the node's idle connection that was used last."""
+        link = node.idle.pop().link
+        del self._idle[link]
+        return link
+
+    def _pop_earliest(self, node: NodeConnections) -> Link:
+        """Remove the node's idle connection that was used least recently."""
+        link = node.idle.popleft().link
+        del self._idle[link]
+        return link
+
 
 def _reason_of(error: OSError | WaitTimeoutError) -> str:
     """The reason of a failed exchange, as it is in logs and answers."""
