decisions: a client's disconnect is handled without a pass over all queries

What callers would see: with thousands of queries in flight whose clients disconnect together, the loop is held up by the square of their number.

Cause: AnswerAssembly.on_client_gone went through all queries for those of one id.

Change: the queries are kept by their id as well; ids and numbers may differ, and an id may have several queries, as before.

--- a/stepknot/decisions/answers.py
+++ b/stepknot/decisions/answers.py
@@ -46,7 +46,16 @@
     The answer after the first of two steps is not final.
     """
 
-    __slots__ = ("_budget", "_dispatcher", "_throttle", "_timers", "_turn", "queries", "unplaced")
+    __slots__ = (
+        "_budget",
+        "_by_query_id",
+        "_dispatcher",
+        "_throttle",
+        "_timers",
+        "_turn",
+        "queries",
+        "unplaced",
+    )
 
     def __init__(
         self,
@@ -59,6 +68,7 @@
         self._turn, self._timers, self._throttle = turn, timers, throttle
         self._dispatcher, self._budget = dispatcher, budget
         self.queries: dict[int, Query] = {}  # by number
+        self._by_query_id: dict[int, list[Query]] = {}  # the same queries by their id
         self.unplaced: dict[
             int, Query
         ] = {}  # by number, those with parts that have not been placed
@@ -73,6 +83,7 @@
         answer_by = event.deadline - ANSWER_GUARD_TICKS * self._turn.settings.tick
         query = Query(event.query_id, event.number, query_class, self._turn.now, answer_by)
         self.queries[event.number] = self.unplaced[event.number] = query
+        self._by_query_id.setdefault(event.query_id, []).append(query)
         self._set_wait(query, 1 - SECOND_STEP_SHARE if query_class.second_step_parts else 1.0)
 
     def on_part(self, event: PartArrived) -> None:
@@ -86,7 +97,7 @@
 
     def on_client_gone(self, event: QueryGone) -> None:
         """End a query whose client has disconnected."""
-        for query in [each for each in self.queries.values() if each.query_id == event.query_id]:
+        for query in list(self._by_query_id.get(event.query_id, ())):
             self._end(query)
 
     def _set_wait(self, query: Query, share: float) -> None:
@@ -174,6 +185,11 @@
         query.parts = []
         self.queries.pop(query.number, None)
         self.unplaced.pop(query.number, None)
+        of_same_id = self._by_query_id.get(query.query_id, [])
+        if query in of_same_id:
+            of_same_id.remove(query)
+        if not of_same_id:
+            self._by_query_id.pop(query.query_id, None)
 
     def _cancel(self, query: Query) -> None:
         """Cancel the attempts in flight of the current step: their answers are of no more use."""
