decisions: an unresponsive server is handled without a pass over all attempts

What callers would see: where many servers fall silent at once, each one's timer went through all attempts in flight, so that the loop is held up by the square of their number.

Cause: Hedging._on_no_response looked for a server's attempts among those of all servers.

Change: a capsule keeps the attempts that were sent to it; Dispatcher.send and Dispatcher.end are the two places that change both tables.

--- a/bench/planted_defects/decisions.py
+++ b/bench/planted_defects/decisions.py
@@ -243,7 +243,7 @@
     ),
     PlantedDefect(
         path="stepknot/decisions/hedging.py",
-        original="if not attempts:",
+        original="if not capsule.attempts:",
         replacement="if False:",
         tests=(
             "tests/decisions/test_hedging.py::test_a_restarted_server_is_watched_for_its_new_process_only",
--- a/stepknot/decisions/aggregator.py
+++ b/stepknot/decisions/aggregator.py
@@ -63,7 +63,7 @@
         hedging.connect(retries.send_again, dispatcher.in_flight)
         answers = AnswerAssembly(turn, timers, throttle, dispatcher, budget)
         recorder = OutcomeRecorder(turn, throttle, slow_start, failures, outliers)
-        outcomes = AttemptOutcomes(throttle, endpoints, reports, recorder, retries, answers)
+        outcomes = AttemptOutcomes(endpoints, reports, recorder, retries, answers)
         self.turn, self.timers, self.throttle, self.endpoints = turn, timers, throttle, endpoints
         self.slow_start, self.failures, self.reports = slow_start, failures, reports
         self.outliers, self.dispatcher, self.answers = outliers, dispatcher, answers
--- a/stepknot/decisions/dispatch.py
+++ b/stepknot/decisions/dispatch.py
@@ -85,7 +85,7 @@
         actions, server = self._turn.actions, capsule.entry.server
         number = len(part.servers)
         key = (part.part_id, number)
-        self.in_flight[key] = attempt
+        self.in_flight[key] = capsule.attempts[key] = attempt
         not_after = self._write_deadline(attempt)
         part.servers.append(server)
         part.attempts_in_flight += 1
@@ -100,6 +100,14 @@
         actions.append(Send(part.part_id, server, attempt.wait, number, not_after))
         self._hedging.watch_attempt(key, attempt)
 
+    def end(self, key: AttemptKey) -> Attempt | None:
+        """Remove an attempt from those in flight; returns it, or None if it is unknown."""
+        attempt = self.in_flight.pop(key, None)
+        if attempt is not None:
+            del attempt.capsule.attempts[key]
+            self._throttle.release(attempt.capsule, attempt.call)
+        return attempt
+
     def _write_deadline(self, attempt: Attempt) -> float:
         """The time after which a part must not be written to a connection.
 
--- a/stepknot/decisions/hedging.py
+++ b/stepknot/decisions/hedging.py
@@ -108,10 +108,9 @@
         if unanswered_for < self._outliers.unresponsive.threshold() - EPSILON:
             self.watch_server(capsule, capsule.unanswered_since)
             return
-        attempts = [each for each in self._in_flight.values() if each.capsule is capsule]
-        if not attempts:
+        if not capsule.attempts:
             return
-        for attempt in attempts:
+        for attempt in list(capsule.attempts.values()):
             query, part = attempt.query, attempt.part
             is_unhedged = (
                 part in query.parts and not part.is_served and part.attempts_in_flight == 1
--- a/stepknot/decisions/outcomes.py
+++ b/stepknot/decisions/outcomes.py
@@ -116,29 +116,26 @@
 class AttemptOutcomes:
     """Ends attempts: records each one, then retries its part or concludes its query."""
 
-    __slots__ = ("_answers", "_endpoints", "_recorder", "_reports", "_retries", "_throttle")
+    __slots__ = ("_answers", "_endpoints", "_recorder", "_reports", "_retries")
 
     def __init__(
         self,
-        throttle: Throttle,
         endpoints: EndpointList,
         reports: LoadReports,
         recorder: OutcomeRecorder,
         retries: Retries,
         answers: AnswerAssembly,
     ) -> None:
-        self._throttle, self._endpoints, self._reports = throttle, endpoints, reports
+        self._endpoints, self._reports = endpoints, reports
         self._recorder, self._retries, self._answers = recorder, retries, answers
 
     def on_attempt_ended(self, event: AttemptEnded) -> None:
         """End an attempt; an unknown attempt is ignored."""
-        in_flight = self._retries.dispatcher.in_flight
-        attempt = in_flight.pop((event.part_id, event.attempt), None)
+        attempt = self._retries.dispatcher.end((event.part_id, event.attempt))
         if attempt is None:
             return
         part, query = attempt.part, attempt.query
         part.attempts_in_flight -= 1
-        self._throttle.release(attempt.capsule, attempt.call)
         self._recorder.record(attempt, event, self._endpoints.capsules)
         self._reports.record(attempt.capsule, event.load)
         self._update_part(part, event.outcome)
--- a/stepknot/decisions/records.py
+++ b/stepknot/decisions/records.py
@@ -59,6 +59,8 @@
 
     entry: ServerEntry
     calls: set[Call] = field(default_factory=set)  # calls in flight; their number is n
+    # Attempts that were sent and have not ended.
+    attempts: dict[AttemptKey, Attempt] = field(default_factory=dict)
     last_call: Call = field(default_factory=lambda: Call(-1))  # the call that was created last
     quota: ColdQuota = field(default_factory=ColdQuota)
     # Moving averages over responses.
--- a/tests/decisions/test_costs.py
+++ b/tests/decisions/test_costs.py
@@ -12,6 +12,7 @@
     QueryArrived,
     QueryGone,
     SetTimer,
+    TimerDue,
 )
 from tests.costs import LARGE, MAX_RATIO_IN_PROPORTION, SMALL, processor_time
 from tests.helpers import START, entry, limits, make_settings
@@ -44,3 +45,18 @@
         )
 
     assert disconnect_cost(LARGE) < MAX_RATIO_IN_PROPORTION * disconnect_cost(SMALL)
+
+
+def test_unresponsive_servers_cost_in_proportion_to_their_number() -> None:
+    """Each timer of an unresponsive server went through all attempts for those at this server."""
+
+    def timers_cost(count: int) -> float:
+        def fire(given: tuple[Aggregator, list[SetTimer]]) -> None:
+            aggregator, timers = given
+            due = [TimerDue(timer.token) for timer in timers if timer.at <= START + 0.9]
+            aggregator.handle(START + 0.9, due)  # before the queries' waits end
+            assert len(aggregator.attempts) == count
+
+        return processor_time(fire, lambda: make_busy_aggregator(count))
+
+    assert timers_cost(LARGE) < MAX_RATIO_IN_PROPORTION * timers_cost(SMALL)
