platform: writing to a node in small steps costs in proportion to what is queued

What callers would see: a node that takes its calls slowly made the broker join all that waits for it again for each write.

Cause: WriteQueue.encode joined the whole queue each time, of which the kernel took a part.

Change: at most 64 KiB are joined at a time. Calls behind them are encoded later, as their waits are counted from then.

It now cancels a part of the last frame that is encoded and not written, and as before one of the very last frame, and checks both; it fails where a frame is not encoded again.

--- a/stepknot/platform/write_queue.py
+++ b/stepknot/platform/write_queue.py
@@ -8,6 +8,10 @@
 from stepknot.nodes.transport import OutgoingAttempt
 from stepknot.platform.frames import encode_call
 
+MAX_WRITE_BYTES = (
+    64 * 1024
+)  # at a time: what the kernel does not take is joined again for the next write
+
 
 @dataclass(slots=True, eq=False)
 class QueuedFrame:
@@ -55,15 +59,23 @@
             self.frames.remove(frame)
 
     def encode(self, now: float) -> bytes:
-        """All bytes that are not written yet; waits are counted from `now`, the loop's clock."""
+        """The next bytes to write, at most `MAX_WRITE_BYTES`; waits are counted from `now`, the loop's clock."""
+        pieces = []
+        capacity = MAX_WRITE_BYTES
         for frame in self.frames:
             if not frame.data:
-                queued = now - frame.queued_at
-                frame.data = encode_call(
-                    [(each.request, each.wait - queued) for each in frame.attempts]
-                )
-                frame.length = len(frame.data)
-        return b"".join(frame.data[frame.sent :] for frame in self.frames)
+                self._encode_call(frame, now)
+            piece = frame.data[frame.sent : frame.sent + capacity]
+            pieces.append(piece)
+            capacity -= len(piece)
+            if not capacity:
+                break
+        return b"".join(pieces)
+
+    def _encode_call(self, frame: QueuedFrame, now: float) -> None:
+        queued = now - frame.queued_at
+        frame.data = encode_call([(each.request, each.wait - queued) for each in frame.attempts])
+        frame.length = len(frame.data)
 
     def advance(self, count: int) -> None:
         """The kernel took so many bytes: frames that it took to their last byte leave the queue."""
--- a/tests/platform/test_nodes.py
+++ b/tests/platform/test_nodes.py
@@ -366,8 +366,16 @@
         sock, _ = listener.accept()
         sock.settimeout(WAIT)
         until(lambda: connections(found)[0].is_flushing)
-        assert all(frame.data for frame in connections(found)[0].queue.frames)  # in bytes already
-        found.call(lambda: nodes.cancel(attempts[-1]))
+        queue = connections(found)[0].queue
+
+        def cancel() -> tuple[bytes, bytes]:
+            encoded = [frame for frame in queue.frames if frame.data and not frame.sent]
+            first, second = encoded[-1].attempts  # in bytes already
+            nodes.cancel(second)
+            nodes.cancel(attempts[-1])
+            return first.request.part_id, second.request.part_id
+
+        sent_id, cancelled_id = found.call(cancel)
         data = b""
         while b"a298.0 " not in data[-40_000:]:
             data += sock.recv(1 << 20)
@@ -376,6 +384,7 @@
             while True:
                 data += sock.recv(1 << 20)
         assert b"a297.0 " in data and b"a299.0" not in data
+        assert sent_id in data and cancelled_id not in data
         sock.close()
         listener.close()
 
