platform: a line's brackets are counted without a list of its tokens

Cause: WatchParser searched each line token by token for its depth, before the same bytes were parsed as JSON.

Change: characters that are neither quotes nor brackets are dropped in one call, then strings without a bracket; what is left is counted. Lines with a backslash or with a bracket in a string are counted as before.

--- a/bench/planted_defects/platform.py
+++ b/bench/planted_defects/platform.py
@@ -263,7 +263,7 @@
     ),
     PlantedDefect(
         path="stepknot/platform/watch_parser.py",
-        original='self._depth += (token in (b"{", b"[")) - (token in (b"}", b"]"))',
+        original="self._depth += count_open_brackets(line)",
         replacement="pass",
         tests=(
             "tests/platform/test_watch_parser.py::test_indented_messages_are_the_same_however_they_are_cut",
--- a/stepknot/platform/watch_parser.py
+++ b/stepknot/platform/watch_parser.py
@@ -12,6 +12,7 @@
 MAX_MESSAGE_BYTES = 2 * 1024 * 1024  # of one list, indented or not
 MAX_HEAD_BYTES = 64 * 1024  # of the response's head, or of a line between its chunks
 STRUCTURE = re.compile(rb'"(?:[^"\\]|\\.)*"|[{}\[\]]')  # JSON strings do not span lines
+NO_STRUCTURE = bytes(sorted(set(range(256)) - set(b'"{}[]')))  # characters between those
 
 
 class WatchParser:
@@ -87,8 +88,7 @@
         if not self._object and not line.strip():
             self._messages.append(b"")
             return
-        for token in STRUCTURE.findall(line):
-            self._depth += (token in (b"{", b"[")) - (token in (b"}", b"]"))
+        self._depth += count_open_brackets(line)
         self._object += line
         if self._depth <= 0:
             self._messages.append(bytes(self._object))
@@ -96,3 +96,16 @@
             self._object.clear()
         else:
             self._object += b"\n"
+
+
+def count_open_brackets(line: bytes) -> int:
+    """How many brackets a line of JSON opens, less those that it closes; brackets in strings do not count."""
+    if b"\\" not in line:
+        # Strings without a bracket are two quotes in a row here. Without them, what is left is in a string
+        # where it was in one before.
+        structure = line.translate(None, NO_STRUCTURE).replace(b'""', b"")
+        if b'"' not in structure:
+            opened = structure.count(b"{") + structure.count(b"[")
+            return 2 * opened - len(structure)
+    tokens = STRUCTURE.findall(line)
+    return sum((token in (b"{", b"[")) - (token in (b"}", b"]")) for token in tokens)
--- a/tests/platform/test_watch_parser.py
+++ b/tests/platform/test_watch_parser.py
@@ -4,9 +4,16 @@
 
 import orjson
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from stepknot.platform.errors import MalformedInputError
-from stepknot.platform.watch_parser import MAX_MESSAGE_BYTES, WatchParser
+from stepknot.platform.watch_parser import (
+    MAX_MESSAGE_BYTES,
+    STRUCTURE,
+    WatchParser,
+    count_open_brackets,
+)
 from tests.platform.test_endpoint_list import LIST
 
 pytestmark = pytest.mark.cpu_only
@@ -60,3 +67,10 @@
     with pytest.raises(MalformedInputError):
         for _ in range(MAX_MESSAGE_BYTES // 60_000 + 2):
             parser.feed(chunk(b"{\n" * 30_000))
+
+
+@given(st.text('"{}[]\\a,', max_size=12))
+def test_brackets_are_counted_as_the_tokens_of_the_line_say(line: str) -> None:
+    values = {b"{": 1, b"[": 1, b"}": -1, b"]": -1}
+    tokens = STRUCTURE.findall(line.encode())
+    assert count_open_brackets(line.encode()) == sum(values.get(token, 0) for token in tokens)
