--- a/tests/platform/test_hard_cases.py
+++ b/tests/platform/test_hard_cases.py
@@ -16,6 +16,7 @@
 from stepknot.nodes.codec import PartReply
 from stepknot.nodes.transport import OutgoingAttempt
 from stepknot.platform.frames import CallPart
+from stepknot.platform.node_connection import NodeConnection
 from tests.broker.scripted import WAIT, until, wait_for
 from tests.platform.test_nodes import connections, hold, move, outcomes
 from tests.platform.test_service import started
@@ -234,13 +235,18 @@
         listener.close()
 
 
+def idle_connection_and_attempt(found: World) -> tuple[NodeConnection, OutgoingAttempt]:
+    """The idle connection to s-0, and an attempt that no query waits for."""
+    assert found.ask().status == 200
+    (conn,) = connections(found)
+    found.call(lambda: setattr(found.service.nodes, "on_reply", lambda attempt, reply, load: None))
+    return conn, OutgoingAttempt(CallPart(b"x.0", 0, b"t"), "x", 1.0)
+
+
 def test_call_queued_as_its_connection_becomes_idle_or_evictable_keeps_it() -> None:
     with world() as found:
         nodes = found.service.nodes
-        assert found.ask().status == 200
-        (conn,) = connections(found)
-        part = OutgoingAttempt(CallPart(b"x.0", 0, b"t"), "x", 1.0)
-        found.call(lambda: setattr(nodes, "on_reply", lambda attempt, reply, load: None))
+        conn, part = idle_connection_and_attempt(found)
 
         def cross() -> tuple[bool, bool]:
             conn.last_used = -1e9  # idle for longer than any node allows
@@ -271,10 +277,7 @@
 def test_connection_whose_unwritten_call_was_removed_can_be_evicted(how: str) -> None:
     with world() as found:
         nodes = found.service.nodes
-        assert found.ask().status == 200
-        (conn,) = connections(found)
-        part = OutgoingAttempt(CallPart(b"x.0", 0, b"t"), "x", 1.0)
-        found.call(lambda: setattr(nodes, "on_reply", lambda attempt, reply, load: None))
+        conn, part = idle_connection_and_attempt(found)
 
         def remove() -> bool:
             conn.is_flushing = True  # as where the kernel takes no more
