decisions: a change of the endpoint list counts before other events of its turn

What callers saw: an attempt that ended in the turn in which its broker read of a node's drain could be retried at that node: a new part after the notice.

Cause: Aggregator.handle took events in the order of their arrival.

Change: a turn's lists are applied first, then the other events, timers last as before.

--- a/bench/planted_defects/decisions.py
+++ b/bench/planted_defects/decisions.py
@@ -3,6 +3,14 @@
 from bench.planted_defects.defect import PlantedDefect
 
 DEFECTS = [
+    PlantedDefect(
+        path="stepknot/decisions/aggregator.py",
+        original="others.append(event)",
+        replacement="handlers[type(event)](event)",
+        tests=(
+            "tests/decisions/test_endpoint_list.py::test_change_counts_before_other_events_of_its_turn",
+        ),
+    ),
     PlantedDefect(
         path="stepknot/decisions/endpoint_list.py",
         original="delay = (self._turn.settings.rules.ask_within or math.inf) * WATCH_RETRY_SHARE",
--- a/bench/trace_packages/decisions.py
+++ b/bench/trace_packages/decisions.py
@@ -46,7 +46,7 @@
     Watch,
 )
 
-EXPECTED = "cd5d70ce14251d173fa9dd6444fb4f73acbbff3acdbb29b2735fc455bd6e23d1"
+EXPECTED = "d98512ba1505412c36b719144c281432c47ded16887dacf3ba4e55a81fa5edf0"
 
 START = 500.0  # start of the virtual clock, in seconds
 STRAY_SHARE = 0.02  # share of queries that are preceded by events with unknown ids
--- a/stepknot/decisions/aggregator.py
+++ b/stepknot/decisions/aggregator.py
@@ -74,7 +74,6 @@
             QueryArrived: answers.on_query,
             PartArrived: answers.on_part,
             QueryGone: answers.on_client_gone,
-            ListReceived: endpoints.on_list,
             InstancesCounted: slow_start.on_instances_counted,
         }
 
@@ -104,12 +103,18 @@
         # Timers run last: answers that arrived during a stall of this process must be processed before a
         # timer treats their attempts as unanswered.
         timers_due: list[TimerDue] = []
+        others: list[Event] = []
         handlers = self._handlers
         for event in events:
-            if type(event) is TimerDue:
+            # The list runs first: a retry that another event causes must not go to a server that drains.
+            if type(event) is ListReceived:
+                self.endpoints.on_list(event)
+            elif type(event) is TimerDue:
                 timers_due.append(event)
             else:
-                handlers[type(event)](event)
+                others.append(event)
+        for event in others:
+            handlers[type(event)](event)
         for timer in timers_due:
             self.timers.on_due(timer)
         if self.answers.unplaced:
--- a/tests/decisions/test_endpoint_list.py
+++ b/tests/decisions/test_endpoint_list.py
@@ -9,15 +9,20 @@
 from stepknot.decisions import Aggregator
 from stepknot.decisions.endpoint_list import MAX_WATCH_RETRY
 from stepknot.interface import (
+    AttemptEnded,
     ListKind,
     ListReceived,
+    Outcome,
+    PartArrived,
+    QueryArrived,
+    Send,
     ServerEntry,
     ServerState,
     SetTimer,
     TimerDue,
     Watch,
 )
-from tests.helpers import FLEET, Driver, entry, make_settings
+from tests.helpers import FLEET, START, Driver, entry, make_settings
 
 pytestmark = pytest.mark.cpu_only
 
@@ -35,6 +40,21 @@
     assert driver.handle(TimerDue(timer.token)) == [Watch()]
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_change_counts_before_other_events_of_its_turn(seed: int) -> None:
+    """A retry went to a server that a later event of the same turn drained."""
+    aggregator = Aggregator(make_settings(cells=1), seed)
+    fleet = tuple(entry(server) for server in "abc")
+    arrivals = [QueryArrived(1, 1, "all", START + 3.0), PartArrived(2, 1, 0, 1.0)]
+    actions = aggregator.handle(START, [ListReceived(ListKind.FULL, fleet), *arrivals])
+    (first,) = [each.server for each in actions if isinstance(each, Send)]
+    draining, staying = sorted(set("abc") - {first})
+    ended = AttemptEnded(2, 0, first, Outcome.REJECTED, 0.01)
+    change = ListReceived(ListKind.CHANGES, (entry(draining, 0, ServerState.DRAINING),))
+    actions = aggregator.handle(START + 0.01, [ended, change])
+    assert [each.server for each in actions if isinstance(each, Send)] == [staying]
+
+
 def test_watch_is_retried_with_backoff_until_a_list_is_received() -> None:
     """Refused calls were repeated at one pace: a crowd of them kept the registry from serving anybody."""
     driver = Driver(make_settings(must_ask=True))
