platform: what the watch received counts before anything new is sent to a node

Cause: what a broker was told waited behind new work. The watch was read once a turn, after replies, and its next read behind the timers, after new requests. Each turn ended with decisions on the part of the list that was read. Calls that waited for their connection were written when it came up, whatever the watch had received since.

Change: the watch's task is urgent: it goes first in each turn. Before it decides or writes to a node, the broker looks whether a watch received bytes that are not read; if so, both wait for the next turn, which follows at once, for 0.05 s at most (the allowance of sockets; SendHold). All writes to nodes go through the end of a turn.

--- a/bench/planted_defects/decisions.py
+++ b/bench/planted_defects/decisions.py
@@ -303,4 +303,12 @@
             "tests/decisions/test_load_shedding.py::test_second_step_is_sent_though_its_servers_are_full",
         ),
     ),
+    PlantedDefect(
+        path="stepknot/decisions/send_hold.py",
+        original="now - self._began_at >= MAX_HOLD",
+        replacement="False",
+        tests=(
+            "tests/decisions/test_send_hold.py::test_hold_ends_for_a_turn_within_the_allowance_and_begins_again",
+        ),
+    ),
 ]
--- a/bench/planted_defects/net.py
+++ b/bench/planted_defects/net.py
@@ -382,4 +382,13 @@
         replacement="pass",
         tests=("tests/net/test_loop.py::test_burst_of_datagrams_is_read_in_batches",),
     ),
+    PlantedDefect(
+        path="stepknot/net/loop.py",
+        original="            if task.is_urgent:\n                task.resume(ticket)",
+        replacement="            if False:\n                task.resume(ticket)",
+        tests=(
+            "tests/net/test_loop.py::test_urgent_task_goes_first_in_each_turn_whatever_others_leave_undone",
+        ),
+        invariant="10",
+    ),
 ]
--- a/bench/planted_defects/platform.py
+++ b/bench/planted_defects/platform.py
@@ -451,4 +451,22 @@
             "tests/platform/test_hard_cases.py::test_deadline_leaves_time_for_one_turn_of_the_loop",
         ),
     ),
+    PlantedDefect(
+        path="stepknot/platform/watch_backlog.py",
+        original="any(link.has_unread() for link in self._links)",
+        replacement="False",
+        tests=(
+            "tests/platform/test_watch_backlog.py::test_last_row_of_a_long_list_counts_before_queries_that_came_with_it",
+        ),
+        invariant="10",
+    ),
+    PlantedDefect(
+        path="stepknot/platform/connection_pool.py",
+        original="if not self._write_scheduled or self.must_sending_wait():",
+        replacement="if not self._write_scheduled:",
+        tests=(
+            "tests/platform/test_watch_backlog.py::test_call_whose_connection_comes_up_is_not_written_before_what_the_watch_received",
+        ),
+        invariant="10",
+    ),
 ]
--- a/bench/trace_packages/platform.py
+++ b/bench/trace_packages/platform.py
@@ -29,7 +29,7 @@
 from stepknot.platform.nodes import Nodes
 from stepknot.platform.watch_parser import WatchParser
 
-EXPECTED = "9303ba9454f62eaa7af0eca33d21eda918f193f462fc4fa4d2a3c392079ff56a"
+EXPECTED = "d281120b21b8e513b34026488f1d8f3cdf8bf476485db95c6a9fb6a2d8b4b3dd"
 
 
 def record(trace: Trace) -> None:
--- a/stepknot/broker/core.py
+++ b/stepknot/broker/core.py
@@ -32,6 +32,11 @@
     """The default of `CoreOptions.watch`: does nothing, as the source of the endpoint list pushes its changes."""
 
 
+def _never() -> bool:
+    """The default of `CoreOptions.must_sending_wait`."""
+    return False
+
+
 @dataclass(frozen=True, slots=True)
 class CoreOptions:
     """A core's optional settings and collaborators."""
@@ -42,6 +47,7 @@
     zones: ZoneFailover | None = None  # limits the traffic of whole zones
     tenant_shares: dict[str, float] = field(default_factory=dict)  # share of the traffic, by tenant
     watch: Callable[[], None] = _no_watch  # requests changes of the endpoint list
+    must_sending_wait: Callable[[], bool] = _never  # whether decisions wait for the next iteration
 
 
 DEFAULT_OPTIONS = CoreOptions()
@@ -71,6 +77,7 @@
         self.loop, self.settings, self.transport, self.log = loop, settings, transport, log
         self.max_queries, self.max_open = options.max_queries, options.max_open
         self.name, self.zones = options.name, options.zones
+        self.must_sending_wait = options.must_sending_wait
         zones = options.zones
         self.aggregator = Aggregator(settings, seed, zones.narrow if zones is not None else None)
         self.decide: Callable[[float, list[api.Event]], list[api.Action]] = self.aggregator.handle
@@ -231,6 +238,8 @@
         """Hand this iteration's events to the decision module and carry out its actions."""
         if not self.pending_events and not self.timers.is_due():
             return
+        if self.must_sending_wait():
+            return
         events, self.pending_events = self.pending_events, []
         events += self.timers.take_due()
         try:
--- a/stepknot/net/link.py
+++ b/stepknot/net/link.py
@@ -9,7 +9,7 @@
 
 from stepknot.net.errors import WaitTimeoutError
 from stepknot.net.network import FAILED, PEER_CLOSED, READ, WRITE
-from stepknot.net.tasks import NEXT_TURN, Park, Task, Timer
+from stepknot.net.tasks import Park, Task, Timer
 
 if TYPE_CHECKING:
     from stepknot.net.loop import Loop
@@ -143,6 +143,10 @@
             self.can_read = False  # the next edge says when there is more
         return data
 
+    def has_unread(self) -> bool:
+        """Whether bytes or the stream's end were received that nobody read, as far as the kernel knows now."""
+        return not self.closed and (self.can_read or self.peek() is not None)
+
     def disconnected(self) -> bool:
         """Whether the peer disconnected, also where the poll did not report it yet."""
         return self.peer_closed or self.closed or self.peek() == b""
@@ -164,7 +168,7 @@
         `stepknot.net.loop`).
         """
         if self.last_full_turn == self.loop.turns:
-            yield from self.loop.sleep(NEXT_TURN)
+            yield from self.loop.wait_for_next_turn()
             if self.closed:
                 return b""
         while (data := self.recv_now(max_bytes)) is None:
--- a/stepknot/net/loop.py
+++ b/stepknot/net/loop.py
@@ -16,11 +16,14 @@
    is, and keeps no other callback from its call.
 9. A step of a task is bounded, whatever a peer sends: it reads once and answers a batch of requests. The
    rest waits for the next turn, so that other peers and timers have theirs.
+10. A task whose input changes how all other work is decided (`Task.is_urgent`) is stepped once at the
+   begin of each turn in which it is due, before any other task and whatever the others leave undone.
 """
 
 from __future__ import annotations
 
 import heapq
+import math
 import random
 import signal
 import socket
@@ -33,7 +36,7 @@
 from stepknot.net.link import Link
 from stepknot.net.listener import Listener
 from stepknot.net.network import Network
-from stepknot.net.tasks import Coroutine, Park, Task, Timer
+from stepknot.net.tasks import NEXT_TURN, Coroutine, Park, Task, Timer
 
 SLICE = 0.025  # seconds of a turn after which tasks that are due wait for the next one
 NEW_SLICE = 0.005  # seconds of a turn for new work: deciding on what it posts comes on top
@@ -91,6 +94,7 @@
         # A heap; the number keeps the order of equal times.
         self.timers: list[tuple[float, int, Timer]] = []
         self.timer_count = 0
+        self.urgent: deque[Due] = deque()  # of urgent tasks
         self.due: deque[Due] = deque()
         self.new: deque[Due] = deque()  # of patient tasks
         self.bulk: deque[Due] = deque()  # of those with much work
@@ -116,10 +120,17 @@
 
     # --- tasks and timers
 
-    def spawn(self, steps: Coroutine, name: str = "task", patient: bool = False) -> Task:
+    def spawn(
+        self,
+        steps: Coroutine,
+        name: str = "task",
+        patient: bool = False,
+        is_urgent: bool = False,
+    ) -> Task:
         """Run a coroutine as a task, from the next step on."""
         task = Task(self, steps, name)
         task.patient = patient
+        task.is_urgent = is_urgent
         self.tasks.add(task)
         task.queue().append((task, task.ticket, None, None))
         return task
@@ -153,6 +164,18 @@
 
         yield park
 
+    def wait_for_next_turn(self) -> Generator[Park, Any, None]:
+        """Park the task until the next turn; an urgent one is then first, another one with the timers."""
+
+        def park(task: Task) -> None:
+            ticket = task.ticket
+            if task.is_urgent:
+                task.resume(ticket)
+            else:
+                self.call_later(NEXT_TURN, lambda: task.resume(ticket))
+
+        yield park
+
     # --- the loop itself
 
     def run(self) -> None:
@@ -175,11 +198,11 @@
             signal.signal(number, handler)
 
     def turn(self) -> None:
-        """Poll, then run what is due: tasks, new work, timers, turn hooks.
+        """Poll, then run what is due: urgent tasks, other tasks, new work, timers, turn hooks.
 
         Raises the error of a callback, or of a task that no other waits for, unless `on_error` takes it.
         """
-        is_due = self.due or self.new or self.bulk or self.again
+        is_due = self.urgent or self.due or self.new or self.bulk or self.again
         wait = 0.0 if is_due else self._until_next_timer()
         self.again = False
         ready = self.network.poll(wait)
@@ -190,6 +213,8 @@
             link = self.links.get(number)
             if link is not None:
                 self.run_callback("link", link.on_event, mask)
+        urgent, self.urgent = self.urgent, deque()
+        self.run_due(urgent, math.inf)
         self.run_due(self.due, begun + SLICE)
         if self.new:
             self.run_due(self.new, self.clock() + NEW_SLICE)
--- a/stepknot/net/tasks.py
+++ b/stepknot/net/tasks.py
@@ -37,6 +37,7 @@
     Attributes:
         done: whether it ended; `result` and `error` are set then.
         ticket: changes with each park, so that a late resume is ignored.
+        is_urgent: whether it goes before all other work, see invariant 10 of `stepknot.net.loop`.
         patient: whether it waits for new work, see invariant 4 of `stepknot.net.loop`.
         is_bulk: whether its new work is so much that it goes behind other tasks' new work.
     """
@@ -46,6 +47,7 @@
         "done",
         "error",
         "is_bulk",
+        "is_urgent",
         "loop",
         "name",
         "patient",
@@ -61,6 +63,7 @@
         self.name = name
         self.done = False
         self.ticket = 0
+        self.is_urgent = False
         self.patient = False
         self.is_bulk = False
         self.result: Any = None
@@ -75,6 +78,8 @@
 
     def queue(self) -> deque[tuple[Task, int, Any, BaseException | None]]:
         """Where the loop has the task when it is due."""
+        if self.is_urgent:
+            return self.loop.urgent
         if not self.patient:
             return self.loop.due
         return self.loop.bulk if self.is_bulk else self.loop.new
--- a/stepknot/platform/__init__.py
+++ b/stepknot/platform/__init__.py
@@ -11,6 +11,10 @@
    the active one while none is being opened.
 3. Changes that are older than what is known, from a watch that another one overtook, change nothing.
 
+10. Nothing is decided on or written to a node while a watch received what is not applied, for
+   `stepknot.decisions.send_hold.MAX_HOLD` seconds at most: a node that drains gets nothing new because the
+   broker was busy.
+
 Connections to nodes:
 
 4. A part's id is the same in each attempt. A connection that carried an attempt carries no later one of
--- a/stepknot/platform/discovery.py
+++ b/stepknot/platform/discovery.py
@@ -30,6 +30,7 @@
 from stepknot.platform.config import Address
 from stepknot.platform.endpoint_list import WatchEvent, parse_watch_event
 from stepknot.platform.errors import MalformedInputError, WatchError
+from stepknot.platform.watch_backlog import WatchBacklog
 from stepknot.platform.watch_parser import WatchParser
 
 READ_BYTES = 64 * 1024
@@ -58,6 +59,7 @@
         has_received: whether any event or keep-alive was received since the start.
         active_watch: the watch whose events count.
         opening_watch: one that has not received its first event.
+        backlog: what the watches received and nobody read.
     """
 
     def __init__(
@@ -83,6 +85,7 @@
         self.has_received = False
         self.active_watch: Task | None = None
         self.opening_watch: Task | None = None
+        self.backlog = WatchBacklog(loop)
         self._loop = loop
         self._address = address
         self._user_agent = f"stepknot/{broker_name}"
@@ -96,7 +99,7 @@
         """Open a watch on changes since the known version; the active one goes on until its first event."""
         if self.opening_watch is None:
             self._is_failure_reported = False
-            self.opening_watch = self._loop.spawn(self._run_watch(), "discovery")
+            self.opening_watch = self._loop.spawn(self._run_watch(), "discovery", is_urgent=True)
 
     def change_address(self, address: Address) -> None:
         """Follow discovery at another address from now on."""
@@ -121,6 +124,7 @@
             reason = str(error)
         finally:
             if link is not None:
+                self.backlog.remove(link)
                 link.close()
         self._on_watch_ended(task, reason)
 
@@ -149,6 +153,7 @@
         since = 0 if self._needs_snapshot else self.version
         last_version = 0  # received on this watch
         yield from link.send(self._encode_request(since), FIRST_EVENT_TIMEOUT)
+        self.backlog.add(link)
         parser = WatchParser()
         while not parser.is_complete:
             if link.last_received >= deadline:  # what was read since then does not count
--- a/stepknot/platform/node_connection.py
+++ b/stepknot/platform/node_connection.py
@@ -71,7 +71,7 @@
     on_reply: OnReply
 
     def schedule_write(self, connection: NodeConnection) -> None:
-        """Call `flush` at the end of this turn of the loop."""
+        """Call `flush` at the end of this turn of the loop, or of the first one in which sending need not wait."""
 
     def on_idle(self, connection: NodeConnection) -> None:
         """The connection became idle, or was used and is idle again."""
@@ -275,7 +275,7 @@
         yield from link.wait_writable()
         self.is_flushing = False
         if not self.has_ended:
-            self.flush()
+            self.owner.schedule_write(self)
 
     # --- reading
 
@@ -287,7 +287,8 @@
             self.link = yield from loop.connect(node.host, node.port, self.owner.connect_timeout)
             if self.has_ended:
                 return
-            self.flush()
+            self.owner.schedule_write(self)
+            self._report_if_idle()
             while not self.has_ended and not reason:
                 data = yield from self.link.recv(READ_BYTES)
                 reason = self._receive(reader, data) if data else "closed by the node"
--- a/stepknot/platform/service.py
+++ b/stepknot/platform/service.py
@@ -133,6 +133,7 @@
             max_connections,
             self.log,
         )
+        pool.must_sending_wait = self._must_sending_wait
         return Nodes(pool, config.settings.parts_per_call)
 
     def _make_core(self, rng: random.Random) -> Core:
@@ -148,6 +149,7 @@
                 max_open=config.max_open,
                 name=config.name,
                 watch=lambda: self.discovery.open_watch(),
+                must_sending_wait=self._must_sending_wait,
             ),
         )
 
@@ -193,6 +195,9 @@
             if entry.state is ServerState.GONE:
                 self.nodes.forget(entry.server)
 
+    def _must_sending_wait(self) -> bool:
+        return self.discovery.backlog.must_sending_wait()
+
     def on_watch_failure(self, reason: str) -> None:
         """Let the decision module decide when to query discovery again."""
         self.log("discovery_failed", reason=reason)
--- a/tests/net/test_loop.py
+++ b/tests/net/test_loop.py
@@ -16,7 +16,7 @@
 from stepknot.net.errors import HttpError, WaitTimeoutError
 from stepknot.net.http import HttpLimits, ServerParser
 from stepknot.net.link import Link
-from stepknot.net.loop import Loop
+from stepknot.net.loop import SLICE, Loop
 from stepknot.net.network import READ, Network
 from stepknot.net.tasks import Coroutine, Future
 
@@ -63,6 +63,30 @@
     assert seen == [("a", 1.5), ("b", 90.0), ("c", 3600.0)]
 
 
+def test_urgent_task_goes_first_in_each_turn_whatever_others_leave_undone() -> None:
+    """The watch of the endpoint list waited behind replies: what it had received was read turns later."""
+    loop, seen = virtual(), []
+
+    def work() -> Coroutine:
+        seen.append("work")
+        loop.clock.now += SLICE  # type: ignore[attr-defined]
+        yield from loop.sleep(0.0)
+
+    def follow() -> Coroutine:
+        while True:
+            seen.append("urgent")
+            yield from loop.wait_for_next_turn()
+
+    for _ in range(3):
+        loop.spawn(work())
+    loop.spawn(follow(), is_urgent=True)
+    for _ in range(2):
+        seen.append("turn")
+        loop.turn()
+    assert [each for each in seen if each != "work"] == ["turn", "urgent"] * 2
+    assert seen[:3] == ["turn", "urgent", "work"] and seen[seen.index("turn", 1) + 1] == "urgent"
+
+
 def test_future_set_before_or_after_the_wait_resumes_its_task_once() -> None:
     loop, got = virtual(), []
     early, late = Future(), Future()
