platform: queued calls wait longer for the watch than decisions do

Cause: decisions wait 0.05 s at most for what a watch received, as answers depend on them; the calls that were queued before, and those of a release, were written after the same time, with the rest of the list unread.

Change: decisions wait 0.025 s at most, the allowance less one slice of a turn, so that a final answer that waits is in time; writes to nodes have a bound of their own, 0.15 s: they delay no answer that is known, and what comes after it is within the shortest drain grace. A call whose node is read to drain meanwhile is withdrawn and retried elsewhere, as before.

--- a/bench/planted_defects/decisions.py
+++ b/bench/planted_defects/decisions.py
@@ -305,7 +305,7 @@
     ),
     PlantedDefect(
         path="stepknot/decisions/send_hold.py",
-        original="now - self._began_at >= MAX_HOLD",
+        original="now - self._began_at >= self._max_seconds",
         replacement="False",
         tests=(
             "tests/decisions/test_send_hold.py::test_hold_ends_for_a_turn_within_the_allowance_and_begins_again",
--- a/stepknot/broker/core.py
+++ b/stepknot/broker/core.py
@@ -33,7 +33,7 @@
 
 
 def _never() -> bool:
-    """The default of `CoreOptions.must_sending_wait`."""
+    """The default of `CoreOptions.must_decisions_wait`."""
     return False
 
 
@@ -47,7 +47,9 @@
     zones: ZoneFailover | None = None  # limits the traffic of whole zones
     tenant_shares: dict[str, float] = field(default_factory=dict)  # share of the traffic, by tenant
     watch: Callable[[], None] = _no_watch  # requests changes of the endpoint list
-    must_sending_wait: Callable[[], bool] = _never  # whether decisions wait for the next iteration
+    must_decisions_wait: Callable[[], bool] = (
+        _never  # whether decisions wait for the next iteration
+    )
 
 
 DEFAULT_OPTIONS = CoreOptions()
@@ -77,7 +79,7 @@
         self.loop, self.settings, self.transport, self.log = loop, settings, transport, log
         self.max_queries, self.max_open = options.max_queries, options.max_open
         self.name, self.zones = options.name, options.zones
-        self.must_sending_wait = options.must_sending_wait
+        self.must_decisions_wait = options.must_decisions_wait
         zones = options.zones
         self.aggregator = Aggregator(settings, seed, zones.narrow if zones is not None else None)
         self.decide: Callable[[float, list[api.Event]], list[api.Action]] = self.aggregator.handle
@@ -238,7 +240,7 @@
         """Hand this iteration's events to the decision module and carry out its actions."""
         if not self.pending_events and not self.timers.is_due():
             return
-        if self.must_sending_wait():
+        if self.must_decisions_wait():
             return
         events, self.pending_events = self.pending_events, []
         events += self.timers.take_due()
--- a/stepknot/decisions/send_hold.py
+++ b/stepknot/decisions/send_hold.py
@@ -9,22 +9,27 @@
 
 import math
 
-# Seconds. The platform extends each of its time limits by as much: an answer that a hold delays is in time.
-MAX_HOLD = 0.05
+# Seconds. The platform extends each of its time limits by 0.05 s: an answer that a hold delays is in time,
+# also where a turn of the loop comes on top.
+MAX_DECISION_HOLD = 0.025
+# Seconds. Queued calls delay no answer that is known, so that they wait longer. What is written after such a
+# hold is within the shortest drain grace, 0.25 s.
+MAX_WRITE_HOLD = 0.15
 
 
 class SendHold:
-    """Decides in each turn whether new attempts wait."""
+    """Decides in each turn whether new attempts wait, for so many seconds at most."""
 
-    __slots__ = ("_began_at",)
+    __slots__ = ("_began_at", "_max_seconds")
 
-    def __init__(self) -> None:
+    def __init__(self, max_seconds: float) -> None:
+        self._max_seconds = max_seconds
         self._began_at = math.inf  # of the hold in force
 
     def should_wait(self, now: float, has_unread_changes: bool) -> bool:
         """Whether attempts wait in this turn; called once a turn.
 
-        A hold ends when all changes are applied, or after `MAX_HOLD` for one turn at least.
+        A hold ends when all changes are applied, or after `max_seconds` for one turn at least.
 
         Args:
             now: seconds, the same clock in each call.
@@ -34,7 +39,7 @@
             self._began_at = math.inf
             return False
         self._began_at = min(self._began_at, now)
-        if now - self._began_at >= MAX_HOLD:
+        if now - self._began_at >= self._max_seconds:
             self._began_at = math.inf
             return False
         return True
--- a/stepknot/platform/__init__.py
+++ b/stepknot/platform/__init__.py
@@ -11,10 +11,6 @@
    the active one while none is being opened.
 3. Changes that are older than what is known, from a watch that another one overtook, change nothing.
 
-10. Nothing is decided on or written to a node while a watch received what is not applied, for
-   `stepknot.decisions.send_hold.MAX_HOLD` seconds at most: a node that drains gets nothing new because the
-   broker was busy.
-
 Connections to nodes:
 
 4. A part's id is the same in each attempt. A connection that carried an attempt carries no later one of
@@ -32,4 +28,9 @@
 9. A connection is unresponsive once something was sent on it and nothing came back for as long as a new
    connection may take to come up: a connection can fail while its node serves on others. It carries
    nothing new until it receives something. Once nothing waits on it, it is closed.
+
+Watches and connections:
+
+10. Nothing is decided on or written to a node while a watch received what is not applied, for the bounded
+   times of `stepknot.decisions.send_hold`: a node that drains gets nothing new because the broker was busy.
 """
--- a/stepknot/platform/connection_pool.py
+++ b/stepknot/platform/connection_pool.py
@@ -22,7 +22,7 @@
         nodes: by name, those listed and those that still have connections.
         idle: the connections that are idle, and some that are in use again.
         on_reply: called with the end of each attempt.
-        must_sending_wait: asked once a turn or more: whether nothing is written in this turn of the loop.
+        must_writes_wait: asked once a turn or more: whether nothing is written in this turn of the loop.
         opened_count: connections that were opened since the start.
         rejected_count: connections that were not opened, as no descriptor was left.
         malformed_count: connections that ended by bytes that the protocol does not allow.
@@ -50,7 +50,7 @@
         self.loop = loop
         self.connect_timeout = connect_timeout
         self.on_reply: OnReply = ignore_reply
-        self.must_sending_wait: Callable[[], bool] = lambda: False
+        self.must_writes_wait: Callable[[], bool] = lambda: False
         self.nodes: dict[str, Node] = {}
         self.idle = IdleConnections()
         self.opened_count = 0
@@ -201,7 +201,7 @@
         self._log("frame_rejected", node=connection.node.name, reason=reason)
 
     def _flush_scheduled(self) -> None:
-        if not self._write_scheduled or self.must_sending_wait():
+        if not self._write_scheduled or self.must_writes_wait():
             return
         scheduled, self._write_scheduled = self._write_scheduled, {}
         for connection in scheduled:
--- a/stepknot/platform/service.py
+++ b/stepknot/platform/service.py
@@ -133,7 +133,7 @@
             max_connections,
             self.log,
         )
-        pool.must_sending_wait = self._must_sending_wait
+        pool.must_writes_wait = self._must_writes_wait
         return Nodes(pool, config.settings.parts_per_call)
 
     def _make_core(self, rng: random.Random) -> Core:
@@ -149,7 +149,7 @@
                 max_open=config.max_open,
                 name=config.name,
                 watch=lambda: self.discovery.open_watch(),
-                must_sending_wait=self._must_sending_wait,
+                must_decisions_wait=self._must_decisions_wait,
             ),
         )
 
@@ -196,8 +196,13 @@
             if state is ServerState.GONE:
                 self.nodes.forget(server)
 
-    def _must_sending_wait(self) -> bool:
-        return self.discovery.backlog.must_sending_wait()
+    def _must_decisions_wait(self) -> bool:
+        self.discovery.backlog.update()
+        return self.discovery.backlog.must_decisions_wait
+
+    def _must_writes_wait(self) -> bool:
+        self.discovery.backlog.update()
+        return self.discovery.backlog.must_writes_wait
 
     def on_watch_failure(self, reason: str) -> None:
         """Let the decision module decide when to query discovery again."""
--- a/stepknot/platform/watch_backlog.py
+++ b/stepknot/platform/watch_backlog.py
@@ -1,8 +1,8 @@
-"""Whether changes of the endpoint list are received that are not applied yet, and whether sending waits for them."""
+"""Whether changes of the endpoint list are received that are not applied yet, and what waits for them."""
 
 from __future__ import annotations
 
-from stepknot.decisions.send_hold import SendHold
+from stepknot.decisions.send_hold import MAX_DECISION_HOLD, MAX_WRITE_HOLD, SendHold
 from stepknot.net.link import Link
 from stepknot.net.loop import Loop
 
@@ -11,14 +11,20 @@
     """Knows the connections of the open watches, and asks the decision module once a turn.
 
     Invariant 10 of `stepknot.platform` is kept here.
+
+    Attributes:
+        must_decisions_wait: whether nothing is decided on in this turn of the loop, see `update`.
+        must_writes_wait: whether nothing is written to nodes in it.
     """
 
     def __init__(self, loop: Loop) -> None:
+        self.must_decisions_wait = False
+        self.must_writes_wait = False
         self._loop = loop
         self._links: list[Link] = []
-        self._hold = SendHold()
-        self._decided_turn = -1  # of the loop, for which `_is_waiting` holds
-        self._is_waiting = False
+        self._decision_hold = SendHold(MAX_DECISION_HOLD)
+        self._write_hold = SendHold(MAX_WRITE_HOLD)
+        self._updated_turn = -1  # of the loop
 
     def add(self, link: Link) -> None:
         """A watch reads from this connection from now on."""
@@ -29,12 +35,12 @@
         if link in self._links:
             self._links.remove(link)
 
-    def must_sending_wait(self) -> bool:
-        """Whether nothing new is sent to nodes in this turn of the loop; a wait makes the next turn follow at once."""
-        if self._decided_turn != self._loop.turns:
-            self._decided_turn = self._loop.turns
-            has_unread = any(link.has_unread() for link in self._links)
-            self._is_waiting = self._hold.should_wait(self._loop.now, has_unread)
-        if self._is_waiting:
-            self._loop.again = True
-        return self._is_waiting
+    def update(self) -> None:
+        """Decide for this turn, in its first call; where something waits, the next turn follows at once."""
+        if self._updated_turn == self._loop.turns:
+            return
+        self._updated_turn = self._loop.turns
+        now, has_unread = self._loop.now, any(link.has_unread() for link in self._links)
+        self.must_decisions_wait = self._decision_hold.should_wait(now, has_unread)
+        self.must_writes_wait = self._write_hold.should_wait(now, has_unread)
+        self._loop.again |= self.must_decisions_wait or self.must_writes_wait
--- a/tests/decisions/test_send_hold.py
+++ b/tests/decisions/test_send_hold.py
@@ -4,29 +4,32 @@
 
 import pytest
 
-from stepknot.decisions.send_hold import MAX_HOLD, SendHold
+from stepknot.decisions.send_hold import MAX_DECISION_HOLD, MAX_WRITE_HOLD, SendHold
 
 pytestmark = pytest.mark.cpu_only
 
 ALLOWANCE = 0.05  # seconds by which the platform extends its time limits
+TURN = 0.025  # seconds, after which a turn of the platform's loop ends
+DRAIN_GRACE = 0.25  # seconds, the shortest of the platform's deployments
+HOLD = 1 / 16  # seconds
 
 
 def test_attempts_wait_while_changes_are_unread() -> None:
-    hold = SendHold()
+    hold = SendHold(HOLD)
     assert [hold.should_wait(10.0, unread) for unread in (True, True, False)] == [True, True, False]
 
 
 def test_hold_ends_for_a_turn_within_the_allowance_and_begins_again() -> None:
     """Changes without end must not stop the instance."""
-    hold = SendHold()
-    step = MAX_HOLD / 4
+    hold = SendHold(HOLD)
+    step = HOLD / 4
     waits = [hold.should_wait(10.0 + turn * step, True) for turn in range(10)]
     assert waits == [True] * 4 + [False] + [True] * 4 + [False]
-    assert MAX_HOLD <= ALLOWANCE
+    assert MAX_DECISION_HOLD + TURN <= ALLOWANCE and MAX_WRITE_HOLD < DRAIN_GRACE
 
 
 def test_time_without_unread_changes_does_not_count() -> None:
-    hold = SendHold()
+    hold = SendHold(HOLD)
     assert hold.should_wait(10.0, True)
-    assert not hold.should_wait(10.0 + MAX_HOLD / 2, False)
-    assert hold.should_wait(10.0 + MAX_HOLD, True)
+    assert not hold.should_wait(10.0 + HOLD / 2, False)
+    assert hold.should_wait(10.0 + HOLD, True)
--- a/tests/platform/test_watch_backlog.py
+++ b/tests/platform/test_watch_backlog.py
@@ -97,14 +97,14 @@
     with world() as found:
         until(lambda: found.service.discovery.version == 10)
         pool = found.service.nodes.pool
-        is_waiting = found.service.core.must_sending_wait
-        pool.must_sending_wait = lambda: True
+        must_writes_wait = pool.must_writes_wait
+        pool.must_writes_wait = lambda: True
         client = found.client()
         client.sock.sendall(found.request("list", (0,)))
         until(lambda: any(each.link for each in pool.connections()))
         pause(0.1)
         assert not found.nodes[0].calls
-        pool.must_sending_wait = is_waiting
+        pool.must_writes_wait = must_writes_wait
         assert client.read().status == 200
 
 
