subsets: decisions wait until the drains of a broker's subset are passed on

What callers saw: a broker with a subset may send parts to nodes that its list drains, for as many turns of its loop as the list's slices need.

The slices keep turns short, and each turn ended with decisions.

--- a/bench/planted_defects/subsets.py
+++ b/bench/planted_defects/subsets.py
@@ -3,6 +3,14 @@
 from bench.planted_defects.defect import PlantedDefect
 
 DEFECTS = [
+    PlantedDefect(
+        path="stepknot/broker/subset_driver.py",
+        original="bool(self.outgoing or self.subset.has_urgent_work)",
+        replacement="False",
+        tests=(
+            "tests/subsets/test_driver.py::test_broker_decides_on_nothing_before_drains_in_its_subset_are_passed_on",
+        ),
+    ),
     PlantedDefect(
         path="stepknot/broker/subset_driver.py",
         original="self._on_list(self._full_event(ListKind.FULL, entries))",
--- a/stepknot/broker/core.py
+++ b/stepknot/broker/core.py
@@ -241,6 +241,7 @@
         if not self.pending_events and not self.timers.is_due():
             return
         if self.must_decisions_wait():
+            self.loop.again = True
             return
         events, self.pending_events = self.pending_events, []
         events += self.timers.take_due()
--- a/stepknot/broker/service.py
+++ b/stepknot/broker/service.py
@@ -205,6 +205,7 @@
             self.log,
         )
         self.endpoints.on_list = subsets.on_watch_event
+        self.core.must_decisions_wait = subsets.must_decisions_wait
         return subsets
 
     def _own_addresses(self) -> frozenset[str]:
--- a/stepknot/broker/subset_driver.py
+++ b/stepknot/broker/subset_driver.py
@@ -5,7 +5,9 @@
    `MAX_SLICE_SECONDS` (see "Sliced work" in `stepknot/subsets/subset.py`), or passes one event to the core. Such an
    event has up to `MAX_EVENT_ENTRIES` entries, as the time that the core needs grows with their number.
 2. Events of the subset are passed on in their order: a node's replacement is added before the node is removed.
-3. An error in the subset's code fails no query: it is logged, and the core gets the full list from then on.
+3. While nodes of the subset that drain or left are not passed on, decisions wait, for a bounded time: slices must not
+   let new attempts reach them (`stepknot/decisions/send_hold.py`).
+4. An error in the subset's code fails no query: it is logged, and the core gets the full list from then on.
 """
 
 from __future__ import annotations
@@ -23,6 +25,7 @@
     SubsetReport,
     disabled_gauge,
 )
+from stepknot.decisions.send_hold import MAX_DECISION_HOLD, SendHold
 from stepknot.discovery.drained_endpoints import DrainedEndpoints
 from stepknot.interface import ListKind, ListReceived, ServerEntry, Settings
 from stepknot.net.loop import Loop
@@ -71,6 +74,7 @@
         self._log = log
         self._report = SubsetReport(loop, self.subset, self.change_log)
         self._has_logged_own_address = False
+        self._hold = SendHold(MAX_DECISION_HOLD)
 
     # --- input
 
@@ -154,6 +158,11 @@
         if not has_more:
             self._set_warm_up_timer()
 
+    def must_decisions_wait(self) -> bool:
+        """Whether decisions wait for what the list says of the subset's nodes; called once in an iteration."""
+        is_behind = not self.fault and bool(self.outgoing or self.subset.has_urgent_work)
+        return self._hold.should_wait(self._loop.now, is_behind)
+
     def _record_changes(self) -> None:
         changes, self.subset.changes = self.subset.changes, []
         self.change_log.record(changes)
--- a/stepknot/subsets/subset.py
+++ b/stepknot/subsets/subset.py
@@ -105,6 +105,11 @@
             self._is_changing or self.uncompared_cells or self.unemitted or self._first_kind
         )
 
+    @property
+    def has_urgent_work(self) -> bool:
+        """Whether a list may say that a selected node is draining or gone, and no event says so yet."""
+        return bool(self.intake.has_unread or self.uncompared_cells or self.urgent_cells)
+
     def next_warm_up(self) -> float | None:
         """Return when the next node ends its slow start, or None; the caller runs `advance` at that time."""
         return self.warm_ups.next_time()
--- a/tests/subsets/test_driver.py
+++ b/tests/subsets/test_driver.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
@@ -15,6 +16,7 @@
 import orjson
 import pytest
 
+from stepknot.broker.service import Service
 from stepknot.broker.subset_change_log import MAX_LOGGED_CELLS
 from stepknot.broker.subset_driver import MAX_EVENT_ENTRIES, MAX_SLICE_SECONDS, SubsetDriver
 from stepknot.cli.serve import make
@@ -496,18 +498,17 @@
 # --- in a broker
 
 
-def test_broker_has_its_subset_before_the_first_turn_and_follows_the_count(
-    tmp_path: Path,
-) -> None:
-    """With `holders` = 2, one of 4 brokers uses half of ten replicas, and a single broker uses all."""
+@contextmanager
+def broker_with_subset(folder: Path, logged: list[str]) -> Iterator[Service]:
+    """A broker with a subset of 40 nodes in 4 cells; its own addresses are listed, too."""
     port, admin, graph = reserve_ports(3)
     rows = [
         {"address": f"10.0.{cell}.{number}:9200", "zone": ZONES[number % 5], "cell": cell}
         for cell in range(4)
         for number in range(10)
     ] + [{"address": f"127.0.0.1:{each}", "zone": "a", "cell": 0} for each in (port, admin, graph)]
-    (tmp_path / "boxes.json").write_bytes(orjson.dumps({"boxes": rows}))
-    (tmp_path / "broker.hcl").write_text(
+    (folder / "boxes.json").write_bytes(orjson.dumps({"boxes": rows}))
+    (folder / "broker.hcl").write_text(
         settings_text(
             port=port,
             admin=admin,
@@ -516,17 +517,47 @@
             subset='subset {\n  identity = "b0"\n  holders = 2\n}\n',
         )
     )
-    logged: list[str] = []
-    service = make(load(tmp_path / "broker.hcl"), lambda event, **fields: logged.append(event))
-    assert service.loop.turns == 0 and len(service.core.servers) == 4 * 5
-    assert logged.count("own_address_listed") == 1 and len(service.endpoints.entries) == 43
-    service.loop.again = True
-    service.loop.turn()
-    service.set_instance_count(1)
-    assert InstancesCounted(1) in service.core.pending_events
-    while service.subsets is not None and service.subsets.slice_timer is not None:
-        service.loop.turn()
-    assert len(service.core.servers) == 40 and b"stepknot_subset_held" in service.metrics()
+    service = make(load(folder / "broker.hcl"), lambda event, **fields: logged.append(event))
+    yield service
     for server in (service.server, service.graphql_server, service.admin):
         if server is not None:
             server.close()
+
+
+def test_broker_has_its_subset_before_the_first_turn_and_follows_the_count(
+    tmp_path: Path,
+) -> None:
+    """With `holders` = 2, one of 4 brokers uses half of ten replicas, and a single broker uses all."""
+    logged: list[str] = []
+    with broker_with_subset(tmp_path, logged) as service:
+        assert service.loop.turns == 0 and len(service.core.servers) == 4 * 5
+        assert logged.count("own_address_listed") == 1 and len(service.endpoints.entries) == 43
+        service.loop.again = True
+        service.loop.turn()
+        service.set_instance_count(1)
+        assert InstancesCounted(1) in service.core.pending_events
+        while service.subsets is not None and service.subsets.slice_timer is not None:
+            service.loop.turn()
+        assert len(service.core.servers) == 40 and b"stepknot_subset_held" in service.metrics()
+
+
+def test_broker_decides_on_nothing_before_drains_in_its_subset_are_passed_on(
+    tmp_path: Path,
+) -> None:
+    """A list is processed in slices: new queries went to nodes whose drains were in a later one."""
+    with broker_with_subset(tmp_path, []) as service:
+        service.loop.clock = Harness().clock
+        turn = service.loop.turn
+        turn()
+        held = list(service.core.servers.values())
+        draining = [replace(entry, state=ServerState.DRAINING) for entry in held]
+        long_list = [replace(entry, server=f"x{entry.server}") for entry in held * 20]
+        service.endpoints.receive_list(ListReceived(ListKind.CHANGES, (*long_list, *draining)))
+        waiting = InstancesCounted(4)
+        service.core.post(waiting)
+        turns = 0
+        while waiting in service.core.pending_events:
+            turn()
+            turns += 1
+        states = {service.core.servers[entry.server].state for entry in held}
+        assert turns > 1 and states == {ServerState.DRAINING}
