broker: the shutdown waits for requests that are still accepted, not for open queries alone

Cause: the wait for queries was over when the listener closed and none was open; requests are accepted for LATE_REQUEST_GRACE after that.

Change: the wait goes on while a server may accept a request; stepknot serve had the same fault and shares the code.

--- a/bench/planted_defects/broker.py
+++ b/bench/planted_defects/broker.py
@@ -45,11 +45,8 @@
     ),
     PlantedDefect(
         path="stepknot/broker/service.py",
-        original="""        yield from self.wait_while(
-            lambda: bool(self.core.queries), IN_FLIGHT_GRACE, STOP_POLL_INTERVAL
-        )
-""",
-        replacement="        yield from ()\n",
+        original="self.finish_queries(fronts, IN_FLIGHT_GRACE)",
+        replacement="self.finish_queries([], 0.0)",
         tests=(
             "tests/broker/test_stalls_and_shutdown.py::test_graceful_shutdown_answers_queries_in_flight",
         ),
--- a/bench/planted_defects/platform.py
+++ b/bench/planted_defects/platform.py
@@ -469,4 +469,12 @@
         ),
         invariant="10",
     ),
+    PlantedDefect(
+        path="stepknot/broker/process.py",
+        original="any(each.may_accept_requests() for each in servers)",
+        replacement="False",
+        tests=(
+            "tests/platform/test_service.py::test_request_at_the_end_of_the_shutdowns_grace_is_waited_for",
+        ),
+    ),
 ]
--- a/stepknot/broker/process.py
+++ b/stepknot/broker/process.py
@@ -4,10 +4,11 @@
 
 import gc
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from stepknot.broker.core import Core
 from stepknot.net.loop import Loop
+from stepknot.net.server import Server
 from stepknot.net.tasks import Coroutine
 
 # The garbage collector's threshold: allocations minus deallocations between two collections of the young generation.
@@ -15,6 +16,8 @@
 # everything in flight takes 0.1 seconds, during which all queries wait.
 GC_THRESHOLD = 50_000
 
+STOP_POLL_INTERVAL = 0.01  # seconds
+
 # Signals that a caller may block until `BrokerProcess.run_loop` handles them.
 HANDLED_SIGNALS = {signal.SIGHUP, signal.SIGTERM}
 
@@ -81,6 +84,15 @@
         while condition() and self.loop.now < until:
             yield from self.loop.sleep(interval)
 
+    def finish_queries(self, servers: Sequence[Server], max_seconds: float) -> Coroutine:
+        """Wait for the queries in flight and for those that the servers may still accept, then end the others."""
+
+        def may_have_queries() -> bool:
+            return bool(self.core.queries) or any(each.may_accept_requests() for each in servers)
+
+        yield from self.wait_while(may_have_queries, max_seconds, STOP_POLL_INTERVAL)
+        self.core.finish_all()
+
     def shut_down(self) -> Coroutine:
         """Stop accepting requests, end the queries in flight, and stop the loop."""
         raise NotImplementedError
--- a/stepknot/broker/service.py
+++ b/stepknot/broker/service.py
@@ -25,7 +25,7 @@
 from stepknot.broker.metrics.registry import BrokerMetrics, Collector
 from stepknot.broker.metrics.zones import ZoneMetrics
 from stepknot.broker.own_addresses import own_addresses
-from stepknot.broker.process import BrokerProcess
+from stepknot.broker.process import STOP_POLL_INTERVAL, BrokerProcess
 from stepknot.broker.query_runner import QueryRunner
 from stepknot.broker.reload import reload_settings
 from stepknot.config.settings import Config
@@ -48,7 +48,6 @@
 MAX_ADMIN_BODY_BYTES = 65536
 IN_FLIGHT_GRACE = 10.0  # seconds that queries in flight get to end by themselves at shutdown
 FINAL_ANSWER_GRACE = 2.0  # seconds after that for the last answers to be sent
-STOP_POLL_INTERVAL = 0.02  # seconds between two checks whether queries or clients are left
 Log = Callable[..., None]
 
 
@@ -314,10 +313,8 @@
         for server in (self.server, self.graphql_server, self.admin):
             if server is not None:
                 server.close()
-        yield from self.wait_while(
-            lambda: bool(self.core.queries), IN_FLIGHT_GRACE, STOP_POLL_INTERVAL
-        )
-        self.core.finish_all()
+        fronts = [each for each in (self.server, self.graphql_server) if each is not None]
+        yield from self.finish_queries(fronts, IN_FLIGHT_GRACE)
         yield from self.wait_while(self._has_clients, FINAL_ANSWER_GRACE, STOP_POLL_INTERVAL)
         self.pool.close()
         if self.leases is not None:
--- a/stepknot/net/server.py
+++ b/stepknot/net/server.py
@@ -83,6 +83,15 @@
         """Whether each answer ends its connection."""
         return self.is_closed or self.is_draining
 
+    def may_accept_requests(self) -> bool:
+        """Whether a request may still begin, see `stepknot.net.rejections`; what was received may not be read yet."""
+        if not self.is_closed:
+            return True
+        is_in_grace = self.loop.now <= self.closed_at + LATE_REQUEST_GRACE
+        is_unread = bool(self.loop.new or self.loop.bulk)
+        has_clients = any(not each.is_half_closed for each in self.connections)
+        return has_clients and (is_in_grace or is_unread)
+
     def _on_accept(self, link: Link, peer: tuple[Any, ...]) -> None:
         if self.gate is not None:
             self.gate.on_accept(self, link, peer)
--- a/stepknot/platform/service.py
+++ b/stepknot/platform/service.py
@@ -6,9 +6,9 @@
 SIGHUP reads the configuration again and follows discovery's new address.
 
 SIGTERM: new connections are accepted and served for `ACCEPT_AFTER_STOP` seconds, as the platform's
-front still sends them; each answer ends its connection. Queries in flight are finished, at the latest
-when the last client's time is up. What is being written has `WRITE_TIMEOUT_AT_STOP` seconds to arrive:
-no client delays the exit.
+front still sends them; each answer ends its connection. Queries in flight, and those of requests that are
+still accepted, are finished, at the latest when the last client's time is up. What is being written
+has `WRITE_TIMEOUT_AT_STOP` seconds to arrive: no client delays the exit.
 """
 
 from __future__ import annotations
@@ -19,7 +19,7 @@
 from typing import Any
 
 from stepknot.broker.core import Core, CoreOptions
-from stepknot.broker.process import BrokerProcess
+from stepknot.broker.process import STOP_POLL_INTERVAL, BrokerProcess
 from stepknot.broker.query import Query, QueryResult, QueryStatus
 from stepknot.decisions.memory_budget import MemoryBudget, request_memory
 from stepknot.decisions.request_ids import RequestIds
@@ -63,7 +63,6 @@
 WRITE_TIMEOUT_AT_STOP = 1.0  # seconds for what is being written
 CLOSE_TIMEOUT_AT_STOP = 0.2  # seconds for connections that are half-closed
 RELOAD_RETRY_DELAYS = (0.1, 0.2, 0.4, 0.8)  # seconds: a file may be half written at SIGHUP
-STOP_POLL_INTERVAL = 0.01  # seconds
 MAX_LOGGED_TEXT = 80
 OK, CONFLICT, SERVICE_UNAVAILABLE = 200, 409, 503
 NO_CHANGES = ListReceived(ListKind.CHANGES)
@@ -334,8 +333,7 @@
         self.server.close()
         classes = self.config.settings.classes.values()
         longest = max((each.deadline for each in classes), default=0.0)
-        yield from self.wait_while(lambda: bool(self.core.queries), longest, STOP_POLL_INTERVAL)
-        self.core.finish_all()
+        yield from self.finish_queries([self.server], longest)
         yield from self.wait_while(
             self._has_unfinished_connections, WRITE_TIMEOUT_AT_STOP, STOP_POLL_INTERVAL
         )
--- a/tests/broker/test_stalls_and_shutdown.py
+++ b/tests/broker/test_stalls_and_shutdown.py
@@ -13,6 +13,7 @@
 from stepknot.broker.query import Query
 from stepknot.net.connection import Connection
 from stepknot.net.http import Request, Response
+from stepknot.net.rejections import LATE_REQUEST_GRACE
 from stepknot.net.tasks import Park
 from tests.broker.scripted import (
     SEARCH,
@@ -147,6 +148,32 @@
     assert not run.thread.is_alive()
 
 
+def test_request_just_after_the_listener_closed_is_waited_for(
+    run: Running, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Queries were waited for once, before it came: its connection was closed without an answer."""
+    monkeypatch.setattr("stepknot.broker.service.FINAL_ANSWER_GRACE", 0.3)
+    warm_up(run)
+    released = threading.Event()
+
+    def delayed(call: Call) -> None:
+        released.wait(5)
+        call.serve()
+
+    for node in run.nodes:
+        node.script = delayed
+    client = Client(run.connect())
+    run.call(run.service.stop)
+    until(lambda: run.service.server.is_closed)
+    client.ask("POST", SEARCH)
+    assert wait_any(run.nodes, lambda node: len(node.work()) > 0)
+    time.sleep(LATE_REQUEST_GRACE + 0.5)  # longer than the last answers have
+    released.set()
+    assert client.read().status == 200
+    run.thread.join(5)
+    assert not run.thread.is_alive()
+
+
 def test_shutdown_rejects_queries_in_flight_after_the_grace(
     run: Running, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/platform/test_service.py
+++ b/tests/platform/test_service.py
@@ -8,6 +8,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -268,6 +269,19 @@
         assert held.read().status == 200 and found.process.wait(WAIT) == 0
 
 
+def test_request_at_the_end_of_the_shutdowns_grace_is_waited_for(tmp_path: Path) -> None:
+    """Queries were waited for once: a request that came just after that was forwarded and its connection closed."""
+    with started(tmp_path) as found:
+        found.nodes[0].script = lambda call: threading.Timer(1.5, call.answer).start()
+        found.process.send_signal(signal.SIGTERM)
+        begun = time.monotonic()
+        time.sleep(ACCEPT_AFTER_STOP / 2)
+        late = found.client()
+        time.sleep(begun + ACCEPT_AFTER_STOP + LATE_REQUEST_GRACE / 2 - time.monotonic())
+        late.sock.sendall(request("list", (0,), x_remaining="1900m"))
+        assert late.read().status == 200 and found.process.wait(WAIT) == 0
+
+
 def refused(address: tuple[str, int]) -> bool:
     try:
         socket.create_connection(address, timeout=WAIT).close()
