platform: the shutdown ends queries before the process may be killed, also where deadlines are longer

What callers saw: at a node that hangs, a request with a deadline over 3 s had no answer when the process was killed 3.7 s after SIGTERM, as the platform may.

Cause: the shutdown waited for the longest deadline of the settings; the platform counts 3 s where it is longer.

--- a/stepknot/platform/service.py
+++ b/stepknot/platform/service.py
@@ -7,7 +7,7 @@
 
 SIGTERM: new connections are accepted and served for `ACCEPT_AFTER_STOP` seconds, as the platform's
 front still sends them; each answer ends its connection. Queries in flight, and those of requests that are
-still accepted, are finished, at the latest when the last client's time is up. What is being written
+still accepted, are finished, at the latest shortly before the process may be killed. What is being written
 has `WRITE_TIMEOUT_AT_STOP` seconds to arrive: no client delays the exit.
 """
 
@@ -63,6 +63,8 @@
 WRITE_TIMEOUT_AT_STOP = 1.0  # seconds for what is being written
 CLOSE_TIMEOUT_AT_STOP = 0.2  # seconds for connections that are half-closed
 RELOAD_RETRY_DELAYS = (0.1, 0.2, 0.4, 0.8)  # seconds: a file may be half written at SIGHUP
+# Seconds: the process may be killed this time and 0.7 s after SIGTERM, also where deadlines are longer.
+MAX_COUNTED_DEADLINE = 3.0
 MAX_LOGGED_TEXT = 80
 OK, CONFLICT, SERVICE_UNAVAILABLE = 200, 409, 503
 NO_CHANGES = ListReceived(ListKind.CHANGES)
@@ -333,7 +335,7 @@
         self.server.close()
         classes = self.config.settings.classes.values()
         longest = max((each.deadline for each in classes), default=0.0)
-        yield from self.finish_queries([self.server], longest)
+        yield from self.finish_queries([self.server], min(longest, MAX_COUNTED_DEADLINE))
         yield from self.wait_while(
             self._has_unfinished_connections, WRITE_TIMEOUT_AT_STOP, STOP_POLL_INTERVAL
         )
--- a/tests/platform/test_service.py
+++ b/tests/platform/test_service.py
@@ -28,6 +28,7 @@
 from tests.broker.scripted import WAIT, Answer, Client, until, wait_for
 from tests.platform.world import Call, Discovery, Node, free_port, profile, request, row
 
+EARLIEST_KILL = 3.0 + 0.7  # seconds after SIGTERM, where deadlines are longer
 HEAVY = (
     "click",
     "structlog",
@@ -282,6 +283,23 @@
         assert late.read().status == 200 and found.process.wait(WAIT) == 0
 
 
+def test_request_at_a_hanging_node_gets_its_answer_before_the_kill(tmp_path: Path) -> None:
+    """Deadlines over 3 s were waited for to their end, and the process may be killed before."""
+    settings = profile()
+    for each in settings["lanes"]:
+        each["deadline-ns"] = 6e9
+    with started(tmp_path, settings=settings) as found:
+        for node in found.nodes:
+            node.script = lambda call: None
+        client = found.client()
+        client.sock.sendall(request("list", (0,), x_remaining="5900m"))
+        until(lambda: any(node.calls for node in found.nodes))
+        found.process.send_signal(signal.SIGTERM)
+        begun = time.monotonic()
+        assert client.read().status == 503
+        assert time.monotonic() - begun < EARLIEST_KILL
+
+
 def refused(address: tuple[str, int]) -> bool:
     try:
         socket.create_connection(address, timeout=WAIT).close()
