decisions: the first attempt of a keyed part has a time after which it is not written

Cause: Dispatcher.send computed `not_after` before it noted that the attempt may run, so that the first attempt had none; a hedge may run before it.

Change: the time counts from the first attempt that may run, itself included.

The traces of the broker and of the decisions have new digests: `not_after` is among their values.

--- a/bench/planted_defects/decisions.py
+++ b/bench/planted_defects/decisions.py
@@ -82,7 +82,7 @@
     ),
     PlantedDefect(
         path="stepknot/decisions/dispatch.py",
-        original="return since + query_class.repeat_window",
+        original="return may_run_since + query_class.repeat_window",
         replacement="return math.inf",
         tests=("tests/decisions/test_rules.py",),
         invariant="2",
@@ -311,4 +311,13 @@
             "tests/decisions/test_send_hold.py::test_hold_ends_for_a_turn_within_the_allowance_and_begins_again",
         ),
     ),
+    PlantedDefect(
+        path="stepknot/decisions/dispatch.py",
+        original="_write_deadline(query_class, part.may_run_since)",
+        replacement="_write_deadline(query_class, part.may_run_since if number else math.inf)",
+        tests=(
+            "tests/decisions/test_retries.py::test_first_attempt_is_not_written_after_its_repeat_window",
+        ),
+        invariant="2",
+    ),
 ]
--- a/bench/trace_packages/broker.py
+++ b/bench/trace_packages/broker.py
@@ -32,7 +32,7 @@
 from stepknot.zones.failover import ZoneFailover
 from stepknot.zones.settings import ZoneSettings
 
-EXPECTED = "eda1f15baee2463321f514396919e95074df3065c2f8acf5c218e5afd0b1e788"
+EXPECTED = "ed4ea1e1c8ea9f130caadc1d9683e17d954f5d686a75be509f1e8763c2ee21ca"
 
 START = 1000.0
 RULES = api.Rules(0.5, 0.2, 5.0, 3.0, 1.0, 5.0, 4.0, 10.0, 0.3)
--- a/bench/trace_packages/decisions.py
+++ b/bench/trace_packages/decisions.py
@@ -46,7 +46,7 @@
     Watch,
 )
 
-EXPECTED = "d98512ba1505412c36b719144c281432c47ded16887dacf3ba4e55a81fa5edf0"
+EXPECTED = "1bc8e54d88ce0b09350c0640bf15f9c624fcd1d4a4109d5f6a82a7b3d12b3eac"
 
 START = 500.0  # start of the virtual clock, in seconds
 STRAY_SHARE = 0.02  # share of queries that are preceded by events with unknown ids
--- a/stepknot/decisions/dispatch.py
+++ b/stepknot/decisions/dispatch.py
@@ -11,7 +11,7 @@
 from stepknot.decisions.selection import ReplicaSelector
 from stepknot.decisions.slow_start import SlowStart
 from stepknot.decisions.turn import EPSILON, Turn
-from stepknot.interface import Close, Effect, Send
+from stepknot.interface import Close, Effect, QueryClass, Send
 
 
 class Dispatcher:
@@ -82,15 +82,16 @@
     def send(self, attempt: Attempt) -> None:
         """Send a planned attempt."""
         part, capsule, now = attempt.part, attempt.capsule, self._turn.now
+        query_class = attempt.query.query_class
         actions, server = self._turn.actions, capsule.entry.server
         number = len(part.servers)
         key = (part.part_id, number)
         self.in_flight[key] = capsule.attempts[key] = attempt
-        not_after = self._write_deadline(attempt)
         part.servers.append(server)
         part.attempts_in_flight += 1
         if part.may_run_since is None:
             part.may_run_since = now
+        not_after = _write_deadline(query_class, part.may_run_since)
         if attempt.call.on_idle_connection and self._shared_faults.should_close_idle_connections():
             attempt.call.on_idle_connection = False
             actions.append(Close(server))
@@ -108,13 +109,13 @@
             self._throttle.release(attempt.capsule, attempt.call)
         return attempt
 
-    def _write_deadline(self, attempt: Attempt) -> float:
-        """The time after which a part must not be written to a connection.
 
-        A connection may be established late or may accept no data for a while, so the repeat window of a part
-        that may have run can close before the part is written.
-        """
-        query_class, since = attempt.query.query_class, attempt.part.may_run_since
-        if query_class.effect is not Effect.KEYED or since is None:
-            return math.inf
-        return since + query_class.repeat_window
+def _write_deadline(query_class: QueryClass, may_run_since: float) -> float:
+    """The time after which a part must not be written to a connection.
+
+    A connection may be established late or may accept no data for a while, so the repeat window can close
+    before the part is written. The first attempt has a deadline, too: a later one may run before it.
+    """
+    if query_class.effect is not Effect.KEYED:
+        return math.inf
+    return may_run_since + query_class.repeat_window
--- a/tests/decisions/test_retries.py
+++ b/tests/decisions/test_retries.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 
 from stepknot.decisions.retry_budget import RetryBudget
@@ -63,6 +65,15 @@
     assert len(driver.sends()) == retries
 
 
+@pytest.mark.parametrize(("kind", "window"), [("keyed", 0.5), ("all", math.inf)])
+def test_first_attempt_is_not_written_after_its_repeat_window(kind: str, window: float) -> None:
+    """Its connection came up late, after a hedge had run: the part ran again after its window."""
+    driver = Driver()
+    driver.query(kind, [0])
+    (send,) = driver.sends()
+    assert send.not_after == pytest.approx(driver.now + window)
+
+
 @pytest.mark.parametrize("window", [0.0, 5.0])
 def test_retry_budget_keeps_the_arrivals_of_its_window_only(window: float) -> None:
     """They were dropped when a retry was considered: without failures memory grew with each query and part."""
