platform: the cached list of the start is not kept for the life of the process

Cause: the configuration kept the decoded rows of the list that the process started with; they are applied once, before the loop runs.

Change: the service keeps the configuration without them.

--- a/stepknot/platform/service.py
+++ b/stepknot/platform/service.py
@@ -16,6 +16,7 @@
 import random
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from stepknot.broker.core import Core, CoreOptions
@@ -99,7 +100,7 @@
         Raises:
             OSError: the address cannot be listened on.
         """
-        self.config = config
+        self.config = replace(config, cached_list=None)  # its rows take megabytes in a large fleet
         self.log = log
         self.load_again = load_again
         rng = random.Random(config.seed)
@@ -109,7 +110,7 @@
         self.started = loop.now
         self.nodes = self._make_nodes()
         self.core = self._make_core(rng)
-        cached = self._parse_cached_list()
+        cached = self._parse_cached_list(config.cached_list)
         self.discovery = DiscoveryClient(
             loop, config.discovery_address, config.name, cached, self.clock_offset, self
         )
@@ -179,11 +180,11 @@
         is_waiting_over = self.loop.now >= self.started + READINESS_TIMEOUT
         return not self.config.is_list_pushed or self.discovery.has_received or is_waiting_over
 
-    def _parse_cached_list(self) -> WatchEvent | None:
-        if not self.config.cached_list:
+    def _parse_cached_list(self, cached_list: Any) -> WatchEvent | None:
+        if not cached_list:
             return None
         try:
-            return parse_watch_event(self.config.cached_list, self.clock_offset)
+            return parse_watch_event(cached_list, self.clock_offset)
         except MalformedInputError as error:
             self.log("cached_list_rejected", reason=str(error))
             return None
--- a/tests/platform/test_memory_limit.py
+++ b/tests/platform/test_memory_limit.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+import gc
 import time
+import weakref
+from dataclasses import replace
 from pathlib import Path
 
+import orjson
 import pytest
 
+from stepknot.platform.config import parse_config
+from stepknot.platform.service import Service
 from tests.broker.scripted import Client
 from tests.platform.hostile_clients import (
     FULL_SPEED,
@@ -16,7 +22,7 @@
     seconds_left,
 )
 from tests.platform.test_service import Process, started
-from tests.platform.world import request
+from tests.platform.world import free_port, profile, request
 
 pytestmark = pytest.mark.measures_time
 
@@ -28,6 +34,32 @@
 ANSWER_GRACE = 0.5  # seconds after its time in which a late answer is not lost
 
 
+class Rows(list[dict[str, object]]):
+    """Rows of an endpoint list that a weak reference can follow."""
+
+
+def test_cached_list_is_not_kept_once_it_is_applied() -> None:
+    """Its decoded rows took megabytes of a large fleet's broker for the life of the process."""
+    rows = Rows([{"id": "s-0", "addr": "127.0.0.1:1", "cell": 0, "state": "active"}])
+    followed = weakref.ref(rows)
+    given = {
+        "name": "n0",
+        "listen": f"127.0.0.1:{free_port()}",
+        "discovery": "127.0.0.1:1",
+        "seed": "8c",
+        "limits": LIMITS,
+        "known": None,
+        "settings": profile(),
+    }
+    config = parse_config(orjson.dumps(given), "test")
+    cached = {"version": 1, "full": True, "servers": rows}
+    service = Service(replace(config, cached_list=cached), lambda *_, **__: None, lambda: config)
+    service.server.close()
+    del rows, cached
+    gc.collect()
+    assert "s-0" in service.nodes.pool.nodes and followed() is None
+
+
 def peak_megabytes(process: Process) -> float:
     """The most memory that the process had resident so far."""
     status = Path(f"/proc/{process.process.pid}/status").read_text()
