platform: an earlier hold of writes does not shorten a later one

What callers saw: nothing yet; found on reading. After a hold of decisions ended by its time with nothing to send, the writes' hold was not asked about again and kept its begin. The next one was over in its first turn, so that queued calls could be written before a list that was received.

Cause: holds are asked about only in turns with something to decide or to write.

Evidence: test_earlier_hold_does_not_shorten_a_later_one fails before.

--- a/tests/platform/test_watch_backlog.py
+++ b/tests/platform/test_watch_backlog.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import threading
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -10,7 +11,12 @@
 import orjson
 import pytest
 
+from stepknot.decisions.send_hold import MAX_WRITE_HOLD
+from stepknot.net.link import Link
+from stepknot.net.loop import Loop
+from stepknot.net.network import READ
 from stepknot.platform.discovery import READ_BYTES
+from stepknot.platform.watch_backlog import WatchBacklog
 from tests.broker.scripted import WAIT, until
 from tests.platform.test_watch_parser import chunk
 from tests.platform.world import Call, World, pause, world
@@ -108,6 +114,28 @@
         assert client.read().status == 200
 
 
+def test_earlier_hold_does_not_shorten_a_later_one() -> None:
+    """A hold whose end nothing asked about went on: the next one was over at once, and calls were written."""
+    loop = Loop()
+    broker_side, discovery_side = socket.socketpair()
+    broker_side.setblocking(False)
+    link = Link(loop, broker_side)
+    backlog = WatchBacklog(loop)
+    backlog.add(link)
+    waits = []
+    for _ in range(2):
+        discovery_side.sendall(b"x")
+        link.on_event(READ)
+        loop.turns += 2  # nothing was to be sent in the turn between
+        loop.now += 2 * MAX_WRITE_HOLD
+        backlog.update()
+        waits.append(backlog.must_writes_wait)
+        assert link.recv_now(READ_BYTES) == b"x"
+    assert waits == [True, True]
+    link.close()
+    discovery_side.close()
+
+
 def test_changes_without_end_do_not_stop_queries() -> None:
     """Sending waits for a bounded time: discovery must not be able to hold up all answers."""
     with world() as found:
