--- a/tests/simulation/test_day.py
+++ b/tests/simulation/test_day.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 import copy
+import fcntl
+import os
+import subprocess
+import sys
 from collections.abc import Callable
 from pathlib import Path
 
@@ -12,6 +16,7 @@
 from stepknot.cli.main import cli
 from stepknot.simulation.audit import Event, Records, audit, drains_kept, part_names
 from stepknot.simulation.day import run_day
+from stepknot.simulation.fleet import readable
 from stepknot.simulation.script import built_in, from_journal, read_script
 
 
@@ -244,3 +249,15 @@
     assert [step.do for step in script.steps] == ["burst", "crash", "lost"] and left_out == [
         "idle_reap"
     ]
+
+
+def test_process_is_read_where_descriptors_have_large_numbers() -> None:
+    """`select` takes descriptors below 1,024 alone: a run in a process that holds more ended with an error."""
+    process = subprocess.Popen([sys.executable, "-c", "print(1)"], stdout=subprocess.PIPE)
+    assert process.stdout is not None
+    number = fcntl.fcntl(process.stdout, fcntl.F_DUPFD, 1024)
+    process.stdout.close()
+    process.stdout = os.fdopen(number, "rb")
+    process.wait()
+    assert readable(process)
+    process.stdout.close()
