--- a/stepknot/simulation/fleet.py
+++ b/stepknot/simulation/fleet.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import os
-import select
 import signal
 import subprocess
 import sys
@@ -15,16 +14,16 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import IO, Any
+from typing import Any
 
 import orjson
 
 from stepknot.simulation import corpus
 from stepknot.simulation.links import Links
 from stepknot.simulation.ports import reserve_ports
+from stepknot.simulation.process_output import has_output
 
 READY_WITHIN = 60.0  # seconds for a process to come up
-MILLISECONDS = 1000  # in a second
 RESTART_AFTER = 3.0  # seconds after which the demo starts a dead box again, cold
 
 SETTINGS = """\
@@ -483,7 +482,7 @@
         RuntimeError: it ended or did not serve in time; the text has the end of its log.
     """
     assert process is not None and process.stdout is not None
-    line = process.stdout.readline() if _has_output(process.stdout, READY_WITHIN) else b""
+    line = process.stdout.readline() if has_output(process.stdout, READY_WITHIN) else b""
     if not line:
         raise RuntimeError(f"{who} did not come up: {last_line(log)}")
     found: dict[str, Any] = orjson.loads(line)
@@ -548,11 +547,4 @@
 
 
 def readable(process: subprocess.Popen[bytes] | None) -> bool:
-    return bool(process and process.stdout and _has_output(process.stdout, 0.0))
-
-
-def _has_output(stream: IO[bytes], seconds: float) -> bool:
-    """Whether the stream has something to read within this time, whatever its descriptor's number is."""
-    poll = select.poll()
-    poll.register(stream, select.POLLIN)
-    return bool(poll.poll(seconds * MILLISECONDS))
+    return bool(process and process.stdout and has_output(process.stdout, 0.0))
