decisions: a hold ends by itself where nothing asks about it; four things said twice

Found on reading the change once more; what callers see stays.

- The rule that a turn without a question ends a hold is in SendHold, for both its users, and no longer in WatchBacklog alone.
- What decisions wait for is set in one way for both brokers, not by an option in one and an attribute in the other.
- A node that left is forgotten unless the core lists it again: no table of all entries of each event.
- The parser's comparison with one structure is gone; counting gives the same.
- tests/platform/replaced_fleet.py uses the parser tests' `chunk` and head.

--- a/bench/planted_defects/decisions.py
+++ b/bench/planted_defects/decisions.py
@@ -320,4 +320,10 @@
         ),
         invariant="2",
     ),
+    PlantedDefect(
+        path="stepknot/decisions/send_hold.py",
+        original="if not was_asked:",
+        replacement="if False:",
+        tests=("tests/decisions/test_send_hold.py::test_turn_without_a_question_ends_a_hold",),
+    ),
 ]
--- a/stepknot/broker/core.py
+++ b/stepknot/broker/core.py
@@ -32,11 +32,6 @@
     """The default of `CoreOptions.watch`: does nothing, as the source of the endpoint list pushes its changes."""
 
 
-def _never() -> bool:
-    """The default of `CoreOptions.must_decisions_wait`."""
-    return False
-
-
 @dataclass(frozen=True, slots=True)
 class CoreOptions:
     """A core's optional settings and collaborators."""
@@ -47,9 +42,6 @@
     zones: ZoneFailover | None = None  # limits the traffic of whole zones
     tenant_shares: dict[str, float] = field(default_factory=dict)  # share of the traffic, by tenant
     watch: Callable[[], None] = _no_watch  # requests changes of the endpoint list
-    must_decisions_wait: Callable[[], bool] = (
-        _never  # whether decisions wait for the next iteration
-    )
 
 
 DEFAULT_OPTIONS = CoreOptions()
@@ -79,7 +71,8 @@
         self.loop, self.settings, self.transport, self.log = loop, settings, transport, log
         self.max_queries, self.max_open = options.max_queries, options.max_open
         self.name, self.zones = options.name, options.zones
-        self.must_decisions_wait = options.must_decisions_wait
+        # Whether decisions wait for the next iteration; asked once in an iteration that has some.
+        self.must_decisions_wait: Callable[[], bool] = lambda: False
         zones = options.zones
         self.aggregator = Aggregator(settings, seed, zones.narrow if zones is not None else None)
         self.decide: Callable[[float, list[api.Event]], list[api.Action]] = self.aggregator.handle
--- a/stepknot/broker/subset_driver.py
+++ b/stepknot/broker/subset_driver.py
@@ -161,7 +161,7 @@
     def must_decisions_wait(self) -> bool:
         """Whether decisions wait for what the list says of the subset's nodes; called once in an iteration."""
         is_behind = not self.fault and bool(self.outgoing or self.subset.has_urgent_work)
-        return self._hold.should_wait(self._loop.now, is_behind)
+        return self._hold.should_wait(self._loop.turns, self._loop.now, is_behind)
 
     def _record_changes(self) -> None:
         changes, self.subset.changes = self.subset.changes, []
--- a/stepknot/decisions/send_hold.py
+++ b/stepknot/decisions/send_hold.py
@@ -20,21 +20,28 @@
 class SendHold:
     """Decides in each turn whether new attempts wait, for so many seconds at most."""
 
-    __slots__ = ("_began_at", "_max_seconds")
+    __slots__ = ("_began_at", "_last_turn", "_max_seconds")
 
     def __init__(self, max_seconds: float) -> None:
         self._max_seconds = max_seconds
         self._began_at = math.inf  # of the hold in force
+        self._last_turn = -1  # the last one in which it was asked
 
-    def should_wait(self, now: float, has_unread_changes: bool) -> bool:
-        """Whether attempts wait in this turn; called once a turn.
+    def should_wait(self, turn: int, now: float, has_unread_changes: bool) -> bool:
+        """Whether attempts wait in this turn; called once in a turn, where there is something to send.
 
-        A hold ends when all changes are applied, or after `max_seconds` for one turn at least.
+        A hold ends when all changes are applied, after a turn without a call, or after `max_seconds` for one
+        turn at least.
 
         Args:
+            turn: its number.
             now: seconds, the same clock in each call.
             has_unread_changes: whether changes are received that are not applied.
         """
+        was_asked = turn == self._last_turn + 1
+        self._last_turn = turn
+        if not was_asked:
+            self._began_at = math.inf
         if not has_unread_changes:
             self._began_at = math.inf
             return False
--- a/stepknot/platform/service.py
+++ b/stepknot/platform/service.py
@@ -110,6 +110,8 @@
         self.started = loop.now
         self.nodes = self._make_nodes()
         self.core = self._make_core(rng)
+        self.nodes.pool.must_writes_wait = self._must_writes_wait
+        self.core.must_decisions_wait = self._must_decisions_wait
         cached = self._parse_cached_list(config.cached_list)
         self.discovery = DiscoveryClient(
             loop, config.discovery_address, config.name, cached, self.clock_offset, self
@@ -135,7 +137,6 @@
             max_connections,
             self.log,
         )
-        pool.must_writes_wait = self._must_writes_wait
         return Nodes(pool, config.settings.parts_per_call)
 
     def _make_core(self, rng: random.Random) -> Core:
@@ -151,7 +152,6 @@
                 max_open=config.max_open,
                 name=config.name,
                 watch=lambda: self.discovery.open_watch(),
-                must_decisions_wait=self._must_decisions_wait,
             ),
         )
 
@@ -193,10 +193,9 @@
         """Take a snapshot of the endpoint list or changes to it."""
         self.nodes.update_addresses(event.addresses, event.is_snapshot)
         self.core.update_endpoints(to_list_event(event))
-        last_states = {entry.server: entry.state for entry in event.entries}
-        for server, state in last_states.items():
-            if state is ServerState.GONE:
-                self.nodes.forget(server)
+        for entry in event.entries:
+            if entry.state is ServerState.GONE and entry.server not in self.core.servers:
+                self.nodes.forget(entry.server)
 
     def _must_decisions_wait(self) -> bool:
         self.discovery.backlog.update()
--- a/stepknot/platform/watch_backlog.py
+++ b/stepknot/platform/watch_backlog.py
@@ -22,12 +22,9 @@
         self.must_writes_wait = False
         self._loop = loop
         self._links: list[Link] = []
-        self._begin_holds()
-        self._updated_turn = -1  # of the loop
-
-    def _begin_holds(self) -> None:
         self._decision_hold = SendHold(MAX_DECISION_HOLD)
         self._write_hold = SendHold(MAX_WRITE_HOLD)
+        self._updated_turn = -1  # of the loop
 
     def add(self, link: Link) -> None:
         """A watch reads from this connection from now on."""
@@ -43,10 +40,8 @@
         turn = self._loop.turns
         if self._updated_turn == turn:
             return
-        if self._updated_turn != turn - 1:  # nothing waited since: an earlier hold is over
-            self._begin_holds()
         self._updated_turn = turn
         now, has_unread = self._loop.now, any(link.has_unread() for link in self._links)
-        self.must_decisions_wait = self._decision_hold.should_wait(now, has_unread)
-        self.must_writes_wait = self._write_hold.should_wait(now, has_unread)
+        self.must_decisions_wait = self._decision_hold.should_wait(turn, now, has_unread)
+        self.must_writes_wait = self._write_hold.should_wait(turn, now, has_unread)
         self._loop.again |= self.must_decisions_wait or self.must_writes_wait
--- a/stepknot/platform/watch_parser.py
+++ b/stepknot/platform/watch_parser.py
@@ -12,7 +12,6 @@
 MAX_MESSAGE_BYTES = 2 * 1024 * 1024  # of one list, indented or not
 MAX_HEAD_BYTES = 64 * 1024  # of the response's head, or of a line between its chunks
 STRUCTURE = re.compile(rb'"(?:[^"\\]|\\.)*"|[{}\[\]]')  # JSON strings do not span lines
-BALANCED_LINE = b"{[{}]}"  # the structure of a list with one entry
 NO_STRUCTURE = bytes(sorted(set(range(256)) - set(b'"{}[]')))  # characters between those
 
 
@@ -114,8 +113,6 @@
         # Strings without a bracket are two quotes in a row here. Without them, what is left is in a string
         # where it was in one before.
         structure = line.translate(None, NO_STRUCTURE).replace(b'""', b"")
-        if structure == BALANCED_LINE:
-            return 0
         if b'"' not in structure:
             opened = structure.count(b"{") + structure.count(b"[")
             return 2 * opened - len(structure)
--- a/tests/platform/replaced_fleet.py
+++ b/tests/platform/replaced_fleet.py
@@ -18,6 +18,7 @@
 import orjson
 
 from tests.platform.test_service import Process
+from tests.platform.test_watch_parser import HEAD, chunk
 from tests.platform.world import answer, free_port, profile, request
 
 NODES = 3200
@@ -27,11 +28,6 @@
 CLIENTS = 60
 THINK_SECONDS = 0.02
 BEFORE_SECONDS, AFTER_SECONDS = 1.0, 1.5
-DISCOVERY_HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
-
-
-def chunk(data: bytes) -> bytes:
-    return b"%x\r\n%s\r\n" % (len(data), data)
 
 
 class Peers:
@@ -134,7 +130,7 @@
 
     def discover(self, sock: socket.socket, data: bytes) -> bytes:
         line = orjson.dumps({"version": 10, "full": False, "servers": []}) + b"\n"
-        sock.sendall(DISCOVERY_HEAD + chunk(line))
+        sock.sendall(HEAD + chunk(line))
         self.watch = sock
         return b""
 
