platform: long endpoint lists are decoded in slices, and a listed node keeps less memory

Change: a message over 16 KiB is decoded in slices that end between two objects, where the bytes up to there are complete JSON values. Quotas are lists, the missing call is one record, zones and kinds are shared texts, what was read is taken in a method of its own.

Tests: test_list_slices.py, test_list_memory.py, and not_kept_until_the_next_read in test_discovery.py; bounded_size, memory_for_a_listed_node and not_kept fail on the former code.

--- a/bench/planted_defects/platform.py
+++ b/bench/planted_defects/platform.py
@@ -288,6 +288,28 @@
             "tests/platform/test_discovery.py::test_change_is_known_in_time_whatever_call_failed",
         ),
     ),
+    PlantedDefect(
+        path="stepknot/platform/list_slices.py",
+        original="if len(message) > SLICE_BYTES else None",
+        replacement="if False else None",
+        tests=(
+            "tests/platform/test_list_slices.py::test_plain_list_is_decoded_in_slices_of_bounded_size",
+        ),
+    ),
+    PlantedDefect(
+        path="stepknot/platform/list_slices.py",
+        original='BETWEEN_OBJECTS = re.compile(rb"\\}(\\s*,\\s*)\\{")',
+        replacement='BETWEEN_OBJECTS = re.compile(rb"\\}(\\s*,?\\s*)\\{")',
+        tests=(
+            "tests/platform/test_list_slices.py::test_message_that_is_not_json_raises_as_it_does_at_once",
+        ),
+    ),
+    PlantedDefect(
+        path="stepknot/decisions/records.py",
+        original="last_call: Call = NO_CALL",
+        replacement="last_call: Call = field(default_factory=lambda: Call(-1, *[False] * 2, *[0] * 2))",
+        tests=("tests/platform/test_list_memory.py::test_memory_for_a_listed_node_is_bounded",),
+    ),
     PlantedDefect(
         path="stepknot/platform/watch_parser.py",
         original="depth = count_open_brackets(line)",
--- a/stepknot/decisions/records.py
+++ b/stepknot/decisions/records.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import math
-from collections import deque
 from dataclasses import dataclass, field
 
 from stepknot.interface import QueryClass, ServerEntry
@@ -25,6 +24,9 @@
     parts_in_flight: int = 0  # number of its parts that have not ended
 
 
+NO_CALL = Call(-1)  # of no turn, so that no part joins it
+
+
 @dataclass(slots=True, eq=False)
 class DecayingShare:
     """A share between 0 and 1 that decays towards 0 with time."""
@@ -50,7 +52,8 @@
 
     # Random number, 0 to 1, that decides on a fraction of a part; drawn once.
     draw: float | None = None
-    spent: deque[tuple[float, float]] = field(default_factory=deque)  # time and work of each part
+    # Time and work of each part. A list: an empty deque has 0.7 KiB, and most servers never get one.
+    spent: list[tuple[float, float]] = field(default_factory=list)
 
 
 @dataclass(slots=True, eq=False)
@@ -61,7 +64,7 @@
     calls: set[Call] = field(default_factory=set)  # calls in flight; their number is n
     # Attempts that were sent and have not ended.
     attempts: dict[AttemptKey, Attempt] = field(default_factory=dict)
-    last_call: Call = field(default_factory=lambda: Call(-1))  # the call that was created last
+    last_call: Call = NO_CALL  # the call that was created last
     quota: ColdQuota = field(default_factory=ColdQuota)
     # Moving averages over responses.
     responses: int = 0  # number of responses in the averages
--- a/stepknot/decisions/slow_start.py
+++ b/stepknot/decisions/slow_start.py
@@ -128,10 +128,16 @@
         capacity = rules.cold_share + (1 - rules.cold_share) * age / rules.cold_time
         sustainable = rules.fall_multiple * capacity * rules.fall_time
         fair_share = COLD_UTILIZATION * sustainable / (capsule.entry.sharers or self.instances)
-        spent = quota.spent
-        while spent and spent[0][0] <= now - rules.fall_time:
-            spent.popleft()
-        remaining = fair_share - sum(work for _, work in spent)
+        _forget_expired(quota.spent, now - rules.fall_time)
+        remaining = fair_share - sum(work for _, work in quota.spent)
         cost = self.part_work(class_name)
         # The previous process of a restarted instance may have sent its share within the same window.
         return now >= self.began_at + rules.fall_time and remaining + cost * quota.draw >= cost
+
+
+def _forget_expired(spent: list[tuple[float, float]], until: float) -> None:
+    """Delete the parts up to this time; they are in the order of their times."""
+    expired = 0
+    while expired < len(spent) and spent[expired][0] <= until:
+        expired += 1
+    del spent[:expired]
--- a/stepknot/platform/discovery.py
+++ b/stepknot/platform/discovery.py
@@ -27,15 +27,14 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-import orjson
-
 from stepknot.net.errors import WaitTimeoutError
 from stepknot.net.link import Link
 from stepknot.net.loop import Loop
 from stepknot.net.tasks import Coroutine, Task
 from stepknot.platform.config import Address
-from stepknot.platform.endpoint_list import WatchEvent, join_changes, parse_watch_event
+from stepknot.platform.endpoint_list import WatchEvent, join_changes, parse_watch_event_slices
 from stepknot.platform.errors import MalformedInputError, WatchError
+from stepknot.platform.list_slices import decode_in_slices
 from stepknot.platform.watch_backlog import WatchBacklog
 from stepknot.platform.watch_parser import WatchParser
 
@@ -214,16 +213,20 @@
             data = yield from link.recv(READ_BYTES, max(watch.deadline - self._loop.now, 0.0))
             if not data:
                 return
-            messages = parser.feed(data)
-            if parser.status and parser.status != HTTP_OK:
-                raise WatchError(f"expected status {HTTP_OK}, not {parser.status}")
-            accepted: list[WatchEvent] = []
-            try:
-                for message in messages:
-                    self._take_message(watch, message, accepted)
-            finally:  # what was received before a malformed message counts
-                for event in join_changes(accepted):
-                    self._listener.on_watch_event(event)
+            self._take_bytes(watch, parser, data)
+
+    def _take_bytes(self, watch: _Watch, parser: WatchParser, data: bytes) -> None:
+        """Take what was read. A method of its own: a long list is not kept until the next read."""
+        messages = parser.feed(data)
+        if parser.status and parser.status != HTTP_OK:
+            raise WatchError(f"expected status {HTTP_OK}, not {parser.status}")
+        accepted: list[WatchEvent] = []
+        try:
+            for message in messages:
+                self._take_message(watch, message, accepted)
+        finally:  # what was received before a malformed message counts
+            for event in join_changes(accepted):
+                self._listener.on_watch_event(event)
 
     def _take_message(self, watch: _Watch, message: bytes, accepted: list[WatchEvent]) -> None:
         """Decode a message, and add it to the accepted events if it is one that counts."""
@@ -247,11 +250,7 @@
         ).encode()
 
     def _decode(self, message: bytes) -> WatchEvent:
-        try:
-            given = orjson.loads(message)
-        except ValueError as error:
-            raise WatchError(f"expected JSON: {error}") from error
-        return parse_watch_event(given, self._clock_offset)
+        return parse_watch_event_slices(decode_in_slices(message), self._clock_offset)
 
     def _check_version(self, event: WatchEvent, previous: int) -> None:
         """Raise WatchError where changes are older than those before: the next watch needs a snapshot."""
--- a/stepknot/platform/endpoint_list.py
+++ b/stepknot/platform/endpoint_list.py
@@ -4,6 +4,7 @@
 
 import itertools
 import math
+import sys
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
@@ -41,10 +42,18 @@
 
 
 def parse_watch_event(given: Any, clock_offset: float) -> WatchEvent:
-    """Decode one JSON message of discovery, or a cached list of the same form.
+    """Read one decoded JSON message of discovery, or a cached list of the same form.
+
+    Args, errors: see `parse_watch_event_slices`.
+    """
+    return parse_watch_event_slices([given], clock_offset)
+
+
+def parse_watch_event_slices(slices: Iterable[Any], clock_offset: float) -> WatchEvent:
+    """Read a message of discovery whose decoded JSON comes in slices.
 
     Args:
-        given: the decoded JSON.
+        slices: objects with some of the rows as `servers` each; the last one has all other keys.
         clock_offset: the loop's clock minus the wall clock, in seconds; the same for the process's
             life, so that an entry that is received again does not look like a restart.
 
@@ -52,13 +61,19 @@
         MalformedInputError: a part of it is missing, of the wrong type or out of its range.
     """
     try:
-        version, rows = given["version"], given["servers"]
-        _check_header(version, rows)
-        entries = tuple([_parse_entry(row, clock_offset) for row in rows])
-        if given.get("full") and len({entry.server for entry in entries}) < len(entries):
+        header: Any = {}
+        entries: list[ServerEntry] = []
+        addresses: list[NodeAddress] = []
+        for header in slices:
+            rows = header["servers"]
+            _check_rows(rows, len(entries))
+            entries += [_parse_entry(row, clock_offset) for row in rows]
+            addresses += [_parse_node_address(row) for row in rows if row.get("addr")]
+        version, is_snapshot = header["version"], bool(header.get("full", False))
+        _check_version(version)
+        if is_snapshot and len({entry.server for entry in entries}) < len(entries):
             raise WatchError("a full list names a node twice")
-        addresses = tuple([_parse_node_address(row) for row in rows if row.get("addr")])
-        return WatchEvent(version, bool(given.get("full", False)), entries, addresses)
+        return WatchEvent(version, is_snapshot, tuple(entries), tuple(addresses))
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise WatchError(f"malformed endpoint list: {type(error).__name__}: {error}") from error
 
@@ -86,11 +101,16 @@
     return ListReceived(kind or received_kind, event.entries)
 
 
-def _check_header(version: Any, rows: Any) -> None:
-    if type(version) is not int or version < 0 or not isinstance(rows, list):
-        raise WatchError("expected an endpoint list with a version from 0 and a list of servers")
-    if len(rows) > MAX_NODES:
-        raise WatchError(f"expected {MAX_NODES} nodes at most, not {len(rows)}")
+def _check_version(version: Any) -> None:
+    if type(version) is not int or version < 0:
+        raise WatchError("expected an endpoint list with a version from 0")
+
+
+def _check_rows(rows: Any, rows_before: int) -> None:
+    if not isinstance(rows, list):
+        raise WatchError("expected an endpoint list with a list of servers")
+    if rows_before + len(rows) > MAX_NODES:
+        raise WatchError(f"expected {MAX_NODES} nodes at most, not {rows_before + len(rows)}")
 
 
 def _parse_node_address(row: Any) -> NodeAddress:
@@ -113,10 +133,10 @@
         raise WatchError(f"node {node}: weight: expected a number, not {size!r}")
     return ServerEntry(
         node,
-        str(row.get("zone", "")),
+        sys.intern(str(row.get("zone", ""))),
         cell,
         state,
         float(size),
         started_ms / MILLISECONDS + clock_offset if started_ms > 0 else 0.0,
-        str(row.get("kind", "")),
+        sys.intern(str(row.get("kind", ""))),
     )
--- a/tests/platform/test_discovery.py
+++ b/tests/platform/test_discovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import itertools
 import socket
 import time
@@ -13,7 +14,7 @@
 
 from stepknot.decisions import Aggregator
 from stepknot.decisions.endpoint_list import MAX_WATCH_BACKOFF, MAX_WATCH_RETRY
-from stepknot.interface import ListKind, ListReceived, SetTimer
+from stepknot.interface import ListKind, ListReceived, ServerEntry, SetTimer
 from stepknot.net.link import Link
 from stepknot.net.loop import Loop
 from stepknot.net.network import READ
@@ -31,6 +32,7 @@
 from stepknot.platform.watch_parser import WatchParser
 from tests.broker.scripted import WAIT, until
 from tests.net.test_loop import Clock, EndlessSocket, virtual
+from tests.platform.discovery_calls import Calls
 from tests.platform.test_endpoint_list import LIST
 from tests.platform.test_watch_parser import HEAD, chunk
 from tests.platform.world import Discovery as StandIn
@@ -468,3 +470,16 @@
     (message,) = found
     assert len(parse_watch_event(orjson.loads(message), 0.0).entries) == MAX_NODES
     assert time.thread_time() - begun < FIRST_EVENT_TIMEOUT
+
+
+def test_list_that_was_applied_is_not_kept_until_the_next_read() -> None:
+    """The watch's task held the message and its entries while it waited for more: a broker's memory was exceeded."""
+    calls = Calls()
+    calls.open()
+    cell = 49_771  # of no other test
+    calls.answer(0, LIST | {"servers": [LIST["servers"][0] | {"cell": cell}]})  # type: ignore[index]
+    gc.collect()
+    assert calls.versions == [41]
+    assert not [
+        each for each in gc.get_objects() if type(each) is ServerEntry and each.cell == cell
+    ]
