net: tasks that wait for the next turn call the loop's one way to do so

Cause: Loop.wait_for_next_turn came with urgent tasks, and three callers still slept for NEXT_TURN, which is the same for a task that is not urgent.

Change: StepBound.wait, read_to_end and SubsetDriver.report call it. Behaviour is unchanged.

--- a/stepknot/broker/subset_driver.py
+++ b/stepknot/broker/subset_driver.py
@@ -219,7 +219,7 @@
         for cell in list(self.subset.index.cells.values()):
             node_counts.add_cell(cell)
             if self._loop.clock() >= until:
-                yield from self._loop.sleep(NEXT_TURN)
+                yield from self._loop.wait_for_next_turn()
                 until = self._loop.clock() + MAX_SLICE_SECONDS
         return self._report.view(node_counts, self.longest_slice).as_answer()
 
--- a/stepknot/net/read_ahead.py
+++ b/stepknot/net/read_ahead.py
@@ -25,7 +25,7 @@
     while link.can_read and not link.disconnected() and _may_read(connection):
         _read_once(connection)
         if link.can_read and _may_read(connection):
-            yield from connection.server.loop.sleep(NEXT_TURN)
+            yield from connection.server.loop.wait_for_next_turn()
     return not link.disconnected()
 
 
--- a/stepknot/net/step_bound.py
+++ b/stepknot/net/step_bound.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from stepknot.net.tasks import NEXT_TURN, Coroutine
+from stepknot.net.tasks import Coroutine
 
 if TYPE_CHECKING:
     from stepknot.net.loop import Loop
@@ -43,5 +43,5 @@
     def wait(self) -> Coroutine:
         """Wait for the next turn where the connection has had its share of this one."""
         if self.is_reached():
-            yield from self._loop.sleep(NEXT_TURN)
+            yield from self._loop.wait_for_next_turn()
         self.begin()
