platform: the watch's backlog answers by itself, and who waits asks for the next turn

Cause: WatchBacklog had to be updated before its two attributes were read, so that the service had a wrapper for each, and it asked the loop for another turn, which Core did once more by itself.

Change: two methods that update once a turn; the service hands them on. Whoever leaves something undone asks for the next turn, in the pool as in Core. No turn is asked for any more where writes would wait and none is queued; what is unread keeps the loop going by its own task.

--- a/bench/planted_defects/platform.py
+++ b/bench/planted_defects/platform.py
@@ -509,8 +509,8 @@
     ),
     PlantedDefect(
         path="stepknot/platform/connection_pool.py",
-        original="if not self._write_scheduled or self.must_writes_wait():",
-        replacement="if not self._write_scheduled:",
+        original="if self.must_writes_wait():",
+        replacement="if False:",
         tests=(
             "tests/platform/test_watch_backlog.py::test_call_whose_connection_comes_up_is_not_written_before_what_the_watch_received",
         ),
--- a/stepknot/platform/connection_pool.py
+++ b/stepknot/platform/connection_pool.py
@@ -201,7 +201,10 @@
         self._log("frame_rejected", node=connection.node.name, reason=reason)
 
     def _flush_scheduled(self) -> None:
-        if not self._write_scheduled or self.must_writes_wait():
+        if not self._write_scheduled:
+            return
+        if self.must_writes_wait():
+            self.loop.again = True
             return
         scheduled, self._write_scheduled = self._write_scheduled, {}
         for connection in scheduled:
--- a/stepknot/platform/service.py
+++ b/stepknot/platform/service.py
@@ -110,12 +110,12 @@
         self.started = loop.now
         self.nodes = self._make_nodes()
         self.core = self._make_core(rng)
-        self.nodes.pool.must_writes_wait = self._must_writes_wait
-        self.core.must_decisions_wait = self._must_decisions_wait
         cached = self._parse_cached_list(config.cached_list)
         self.discovery = DiscoveryClient(
             loop, config.discovery_address, config.name, cached, self.clock_offset, self
         )
+        self.nodes.pool.must_writes_wait = self.discovery.backlog.must_writes_wait
+        self.core.must_decisions_wait = self.discovery.backlog.must_decisions_wait
         if cached is not None:
             self.nodes.update_addresses(cached.addresses, is_snapshot=True)
             self.core.update_endpoints(to_list_event(cached, ListKind.CACHED))
@@ -197,14 +197,6 @@
             if entry.state is ServerState.GONE and entry.server not in self.core.servers:
                 self.nodes.forget(entry.server)
 
-    def _must_decisions_wait(self) -> bool:
-        self.discovery.backlog.update()
-        return self.discovery.backlog.must_decisions_wait
-
-    def _must_writes_wait(self) -> bool:
-        self.discovery.backlog.update()
-        return self.discovery.backlog.must_writes_wait
-
     def on_watch_failure(self, reason: str) -> None:
         """Let the decision module decide when to query discovery again."""
         self.log("discovery_failed", reason=reason)
--- a/tests/platform/test_watch_backlog.py
+++ b/tests/platform/test_watch_backlog.py
@@ -128,8 +128,7 @@
         link.on_event(READ)
         loop.turns += 2  # nothing was to be sent in the turn between
         loop.now += 2 * MAX_WRITE_HOLD
-        backlog.update()
-        waits.append(backlog.must_writes_wait)
+        waits.append(backlog.must_writes_wait())
         assert link.recv_now(READ_BYTES) == b"x"
     assert waits == [True, True]
     link.close()
