tests: both tests of an address change have their planted defect again; one copy less

Cause: the planted defect of watches that an address change ends had named test_address_changes_while_nothing_answers_leave_two_watches_at_most, and named the test of slow calls instead since. A test of the cached list wrote out a configuration that config_of has.

Change: a defect for each of the two tests; the test of the cached list calls config_of.

--- a/bench/planted_defects/platform.py
+++ b/bench/planted_defects/platform.py
@@ -340,6 +340,15 @@
         path="stepknot/platform/discovery.py",
         original="self._end_opening_watches()",
         replacement="pass",
+        tests=(
+            "tests/platform/test_discovery.py::test_address_changes_while_nothing_answers_leave_two_watches_at_most",
+        ),
+        invariant="1",
+    ),
+    PlantedDefect(
+        path="stepknot/platform/discovery.py",
+        original="for task in (self.opening_watch, self.slow_watch):",
+        replacement="for task in (self.opening_watch,):",
         tests=("tests/platform/test_slow_discovery.py::test_address_change_ends_slow_calls",),
         invariant="1",
     ),
--- a/tests/platform/test_memory_limit.py
+++ b/tests/platform/test_memory_limit.py
@@ -21,6 +21,7 @@
     HostileCrowd,
     seconds_left,
 )
+from tests.platform.test_discovery import config_of
 from tests.platform.test_service import Process, started
 from tests.platform.world import free_port, profile, request
 
@@ -42,15 +43,7 @@
     """Its decoded rows took megabytes of a large fleet's broker for the life of the process."""
     rows = Rows([{"id": "s-0", "addr": "127.0.0.1:1", "cell": 0, "state": "active"}])
     followed = weakref.ref(rows)
-    given = {
-        "name": "n0",
-        "listen": f"127.0.0.1:{free_port()}",
-        "discovery": "127.0.0.1:1",
-        "seed": "8c",
-        "limits": LIMITS,
-        "known": None,
-        "settings": profile(),
-    }
+    given = config_of(profile()) | {"listen": f"127.0.0.1:{free_port()}"}
     config = parse_config(orjson.dumps(given), "test")
     cached = {"version": 1, "full": True, "servers": rows}
     service = Service(replace(config, cached_list=cached), lambda *_, **__: None, lambda: config)
